--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -25,7 +25,6 @@
 JITTER_US = 200_000  # as long as the first wait, so that messages refused together come apart
 CEILING_US = 2_000_000  # longer waits cost more worth than the calls they spare
 FLOOR_LEAST = 2  # retries that fire before the soft cap, however little a late delivery is worth
-BUNDLE_WEIGHT = 0.2  # time and work of each further message in a call, against the first
 COLD_TIMES = 3.0  # a destination that comes back is slower than usual by about so much
 WINDOW_SHARE = 0.45  # a keyed try may take this part of its window, so that another one fits in
 MARGIN_US = 10_000  # kept free before every deadline and window for the rounding of timers
@@ -54,9 +53,8 @@
 
 def retry_floor(kind: hb.MessageClass, fade: hb.Fade, attempt_cap: int) -> int:
     """Retries that fire before the soft cap may stop them: the more, the more late worth is left."""
-    steps = 16
     span = kind.deadline_us - kind.aim_us
-    late = sum(worth_at(kind, fade, kind.aim_us + span * i // steps) for i in range(1, steps)) / steps
+    late = sum(worth_at(kind, fade, kind.aim_us + span * i // 16) for i in range(1, 16)) / 16
     return max(FLOOR_LEAST, math.ceil(late * min(attempt_cap, 16)))
 
 
@@ -66,15 +64,10 @@
 
     endpoint: Endpoint
     sent_us: int
-    size: int = 1  # messages planned to travel in it
+    idle: bool = False  # its connection may have been idle for long
     open: int = 0
     seen: bool = False
 
-    @property
-    def weight(self) -> float:
-        """What it asks of its destination, against a call with one message."""
-        return 1.0 + BUNDLE_WEIGHT * (self.size - 1)
-
 
 @dataclass(slots=True)
 class Message:
@@ -118,11 +111,14 @@
 # --- pace: per destination, unbounded until the first refusal as full ----------------------------
 
 PACE_GROWTH = 0.15  # calls a second added on each success: a second of successes adds as much in part
-PACE_REGAIN = 0.1  # part of the lower bound added on a success under it: ten successes lead back
-PACE_LEAST = 0.2  # calls a second: under it, a destination's recovery would go unseen for too long
+PACE_STEP = 0.2  # but no more than this part of a small pace, or half of all calls would be refused
+PACE_REGAIN = 0.5  # part of the lower bound added on a success under it: two successes lead back
+# Danger: among many senders the part of one is a call in a minute, longer than a message lives. A pace
+# under one call for each longest wait is left to the waits themselves; they back off and are jittered.
+PACE_SPARSE = SECOND / CEILING_US
+PACE_LEAST = 0.05  # calls a second: under it, a destination's recovery would go unseen for too long
 PACE_BURST_S = 0.4  # unused pace that may be saved up
 LIMIT_BAND = (0.6, 1.3)  # where a limit is known the pace stays this near to this sender's part of it
-ROUGH_BAND = (0.5, 2.0)  # the same for a listed rate that may be far off
 
 
 @dataclass(slots=True)
@@ -147,7 +143,6 @@
         self.at_us = now
 
     def next_us(self, now: int) -> int:
-        """When the next call may go."""
         if self.rate is None:
             return now
         self.refill(now)
@@ -157,17 +152,18 @@
         """Halve, once per round: calls sent before the last cut tell nothing of the new pace."""
         if sent_us <= self.cut_us:
             return
-        before = self.rate or float(sum(at > now - SECOND for at in self.sent))
+        before = self.rate or max(1.0, float(sum(at > now - SECOND for at in self.sent)))
         self.refill(now)
         self.tokens = self.tokens if self.rate else 0.0
         # Danger: a limit may fall far under what is listed, and where refused calls use it up, a pace
-        # held up by a listed figure keeps it used up. So no figure but a success stops the fall.
-        self.rate = max(PACE_LEAST, min(before / 2, bounds[1]))
+        # held up near a listed figure keeps it used up. But too low a pace is a pit: no call, no growth.
+        self.rate = max(PACE_LEAST, bounds[0] / 4, min(before / 2, bounds[1]))
         self.cut_us = now
 
     def succeeded(self, bounds: tuple[float, float]) -> None:
         if self.rate is not None:
-            step = max(PACE_GROWTH, PACE_REGAIN * bounds[0] if self.rate < bounds[0] else 0.0)
+            step = min(PACE_GROWTH, PACE_STEP * max(self.rate, bounds[0]))
+            step = max(step, PACE_REGAIN * bounds[0] if self.rate < bounds[0] else 0.0)
             self.rate = min(self.rate + step, bounds[1])
 
 
@@ -177,17 +173,20 @@
 ERROR_SHARE_OUT = 0.5  # share of recent calls failing at which an endpoint counts as out
 ERROR_WEIGHT = 0.15  # weight of the newest call in that share
 SHUT_US = 2_200_000  # told or seen refusing for longer than any usual span of a limit: it is shut
+SHUT_LEAST = 4  # and for at least so many calls in a row
 COLD_MARGIN = 0.7  # part of the budget for a returning destination that is used; the rest is chance
 TRICKLE_US = (300_000, 750_000)  # between trial calls: the least, and the most for each sender
+TRICKLE_AGE = 4.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
-LONG_SILENCE_US = 2_000_000  # an answer after such a silence comes from a destination that was out
+SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
+STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
+STALE_SPAN_US = 15_000_000  # idle connections are closed for so long after one was lost
 
 
 class Health(enum.Enum):
     """What is held of an endpoint."""
 
     WELL = "well"
-    SUSPECT = "suspect"  # silent for longer than usual, but no call has failed
     OUT = "out"
     RAMP = "ramp"  # it answers again and may be cold
 
@@ -209,14 +208,17 @@
     ok_us: int = -1
     last_us: int = -1
     streak: int = 0
+    lost_us: int = NEVER  # when the first call of an outage was sent, as far as seen here
     errors: float = 0.0
-    most_out: int = NEVER  # calls at once that its connection limit seems to take
+    barred_us: int = 0  # last failed connect
+    ended_us: int = -1  # when the last call ended: its connections are idle since
+    stale: bool = False  # a call was lost on a connection that had been idle
 
-    def patience_us(self, weight: float = 1.0) -> int:
+    def patience_us(self) -> int:
         """How long a call may take here before it is late."""
-        # Danger: a cold destination, or a call with many messages, takes longer; cut off too early, the
-        # answers that would show it is back never come, and it is taken for silent again and again.
-        return int(max(PATIENCE_LEAST_US, PATIENCE_TIMES * self.usual_us) * self.slowness * weight)
+        # Danger: a cold destination takes longer; cut off too early, the answers that would show it is
+        # back never come, and it is taken for silent again and again.
+        return int(max(PATIENCE_LEAST_US, PATIENCE_TIMES * self.usual_us) * self.slowness)
 
     @property
     def slowness(self) -> float:
@@ -224,8 +226,9 @@
         return COLD_TIMES if self.health in (Health.RAMP, Health.OUT) else 1.0
 
     def turn(self, health: Health, now: int) -> None:
-        self.health, self.since_us = health, now
-        self.streak = 0
+        self.health, self.since_us, self.streak = health, now, 0
+        if health is Health.WELL:
+            self.lost_us = NEVER
 
 
 @dataclass(slots=True)
@@ -238,8 +241,7 @@
     listed: float = 0.0
     reported: float = 0.0
     refusing_us: int = NEVER  # first refusal since the last success
-    served: float = 0.0  # successes a second, smoothed
-    served_us: int = 0
+    refusals: int = 0  # and how many
 
 
 @dataclass(slots=True)
@@ -260,7 +262,6 @@
 ROOM_FULL = 0.95  # part of the room at which the least worth is handed back
 AIM_SENSE_US = 1_000_000  # how near its aim a message begins to press
 END_SENSE_US = 2_000_000  # and how near its end
-SERVED_SPAN_US = 10_000_000  # memory of what a destination took while it was well
 QUOTA_SPAN_S = 3.0  # unused quota that a tenant may save up
 ASK_US = (500_000, 4_000_000)  # membership: first wait before asking again, doubled up to the second
 WAKE, ASK = "wake", "ask"  # the marks of its timers
@@ -281,6 +282,8 @@
         self.destinations: dict[int, Destination] = {}
         self.messages: dict[str, Message] = {}
         self.slots_used = 0
+        self.tight: dict[str, bool] = {}  # kinds of destination whose tables of connections have been full
+        self.stale_us = 0  # till when idle connections may be dropped unseen
         self.keys: dict[int | None, deque[Message]] = {}
         self.key_rest: dict[int, int] = {}
         self.quota = {t.name: (t.quota_per_s / settings.senders, math.inf, 0) for t in settings.tenants}
@@ -347,6 +350,10 @@
                 # The one place that scopes pace, wait and cold budget: by destination or by route.
                 lane = Lane() if home.kind.separate_routes else home.shared
                 known = Endpoint(entry.target, entry.zone, home, lane, since_us=self.now)
+                # Danger: all that waits for a destination that is out rushes to an endpoint put in its place.
+                if sick := [e for e in lane.endpoints if e.health is not Health.WELL]:
+                    known.lost_us = sick[0].lost_us
+                    self._out(known, "like its siblings")
                 lane.endpoints.append(known)
                 home.endpoints.append(known)
                 self.endpoints[entry.target] = known
@@ -409,6 +416,7 @@
         if call.open == 0:
             self.slots_used -= 1
             call.endpoint.calls.remove(call)
+            call.endpoint.ended_us = self.now
         if event.status in (hb.Status.ERROR, hb.Status.TIMEOUT, hb.Status.RESET, hb.Status.CANCELLED):
             if call.sent_us < message.doubt_us:
                 message.doubt_us, message.doubt_zone = call.sent_us, call.endpoint.zone
@@ -421,11 +429,19 @@
         if not call.seen and event.status not in (hb.Status.CANCELLED, hb.Status.NOT_SENT):
             call.seen = True
             self._learn(call, event)
+        self._close_idle(call.endpoint)
         if event.over or message.over:
             self._over(message)
         else:
             self._retry(message)
 
+    def _close_idle(self, endpoint: Endpoint) -> None:
+        # Danger: idle connections of many senders fill a small table and keep all others out; and one
+        # dropped unseen loses the call, which ends an unsafe message. Costs a handshake for each call.
+        crowded = endpoint.home.kind.name in self.tight
+        if not endpoint.calls and (crowded or endpoint.stale or self.now < self.stale_us):
+            self.actions.append(hb.CloseIdle(endpoint.target))
+
     def _retry(self, message: Message) -> None:
         """After a failure: wait and try again, or stop: floor, then soft cap; the hard cap always."""
         retries = len(message.calls)
@@ -451,91 +467,89 @@
         if status is hb.Status.OK:
             self._succeeded(call)
             return
+        endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
+        endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
         if status is hb.Status.FULL:
             lane.pace.refused(self.now, call.sent_us, self._bounds(lane))
             lane.refusing_us = min(lane.refusing_us, self.now)
+            lane.refusals += 1
             # Danger: a shut destination opens for all senders at once, and cold. Refusals that go on,
             # or a told wait, longer than a limit's span are an outage. Hurts where spans are longer.
-            if event.wait_us > SHUT_US or self.now - lane.refusing_us > SHUT_US:
+            long = lane.refusals >= SHUT_LEAST and self.now - lane.refusing_us > SHUT_US
+            if long or event.wait_us > SHUT_US:
                 for each in lane.endpoints:
                     self._out(each, "refuses all")
-        elif status is hb.Status.CONNECT_FAILED and (not fresh or len(endpoint.calls) > 0):
-            # Danger: a full table of connections looks like an outage. Calls that run or were answered
-            # since tell them apart; hurts for one round after a true outage.
-            endpoint.most_out = max(1, len(endpoint.calls))
-            endpoint.streak += fresh
         elif status is not hb.Status.ERROR:  # answered errors count by their share of the calls alone
-            endpoint.streak += fresh * (2 if status is hb.Status.CONNECT_FAILED else 1)  # seldom by chance
+            # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
+            # its kind, tell them apart; else one failed connect is enough: it is seldom chance.
+            full = endpoint.calls or endpoint.home.kind.name in self.tight
+            endpoint.streak += fresh * (STREAK_OUT if status is hb.Status.CONNECT_FAILED and not full else 1)
         if endpoint.health is Health.OUT:
             later = lane.hold_us + int(self._spacing_us(endpoint) * self.rng.uniform(0.2, 1.0))
             endpoint.next_us = max(endpoint.next_us, later)
             return
         # Danger: a loss of some calls looks like silence; with each one taken for an outage, all
-        # destinations ramp for ever. So it takes failures in a row; a ramp, not yet trusted, one less.
-        most = STREAK_OUT - (endpoint.health is Health.RAMP)
-        if endpoint.streak >= most or endpoint.errors > ERROR_SHARE_OUT:
+        # destinations ramp for ever. So it takes failures in a row.
+        if status is not hb.Status.FULL:
+            endpoint.lost_us = min(endpoint.lost_us, call.sent_us)
+        if endpoint.streak >= STREAK_OUT or endpoint.errors > ERROR_SHARE_OUT:
             self._out(endpoint, status.value)
 
     def _succeeded(self, call: Call) -> None:
         endpoint, lane = call.endpoint, call.endpoint.lane
         took = self.now - call.sent_us
         endpoint.ok_us = max(endpoint.ok_us, call.sent_us)
-        endpoint.usual_us += 0.15 * (took / call.weight - endpoint.usual_us)
-        failed, endpoint.streak = endpoint.streak > 1, 0
-        lane.refusing_us = NEVER
+        endpoint.usual_us += 0.15 * (took - endpoint.usual_us)
+        endpoint.streak = 0
+        young = self.now - endpoint.lost_us < SHORT_US
+        if young and endpoint.barred_us >= endpoint.lost_us:
+            self.tight[endpoint.home.kind.name] = True
+        self.stale_us = self.now + STALE_SPAN_US if young and endpoint.stale else self.stale_us
+        endpoint.stale = False
+        if endpoint.health is Health.WELL:
+            endpoint.lost_us = NEVER
+        lane.refusing_us, lane.refusals = NEVER, 0
         lane.pace.succeeded(self._bounds(lane))
-        if endpoint.most_out < NEVER:
-            endpoint.most_out += self.rng.random() < 0.2
-        if endpoint.health is Health.WELL or endpoint.health is Health.RAMP:
-            fade = math.exp(-(self.now - lane.served_us) / SERVED_SPAN_US)
-            lane.served = lane.served * fade + SECOND / SERVED_SPAN_US
-            lane.served_us = self.now
         if endpoint.health is Health.RAMP and self.now - endpoint.since_us >= self.settings.cold_us:
             endpoint.turn(Health.WELL, self.now)
             self.actions.append(hb.Log(f"warm again: {endpoint.target}"))
             return
-        quiet = self.now - endpoint.since_us if failed else took
-        long = quiet > max(LONG_SILENCE_US, endpoint.patience_us())
-        if endpoint.health is Health.OUT or (endpoint.health is Health.SUSPECT and long):
+        if endpoint.health is Health.OUT and not young:
             endpoint.turn(Health.RAMP, self.now)
             endpoint.next_us = self.now
             self.actions.append(hb.Log(f"returning: {endpoint.target}"))
-        elif endpoint.health is Health.SUSPECT:
+        elif endpoint.health is Health.OUT:
             endpoint.turn(Health.WELL, self.now)
 
     def _out(self, endpoint: Endpoint, sign: str) -> None:
         if endpoint.health is not Health.OUT:
             self.actions.append(hb.Log(f"suspected: {endpoint.target} ({sign})"))
+            endpoint.lost_us = min(endpoint.lost_us, self.now)
             endpoint.turn(Health.OUT, self.now)
             start = max(self.now, endpoint.lane.hold_us)  # senders held alike come back at random times
             endpoint.next_us = start + int(self._spacing_us(endpoint) * self.rng.uniform(0.2, 1.0))
 
     def _bounds(self, lane: Lane) -> tuple[float, float]:
         """Between what the pace may lie, where a limit is known."""
-        rough = not lane.reported and self.settings.weights is hb.Weights.ROUGH
-        band = ROUGH_BAND if rough else LIMIT_BAND
         part = (lane.reported or lane.listed) / self.settings.senders
-        return (part * band[0], part * band[1]) if part > 0 else (0.0, float(NEVER))
+        low, high = part * LIMIT_BAND[0], max(PACE_SPARSE, part * LIMIT_BAND[1])
+        return (low, high) if part > 0 else (0.0, float(NEVER))
 
     def _spacing_us(self, endpoint: Endpoint) -> int:
         """Between two calls at an endpoint that is out or ramps up: this sender's part of the budget."""
         s, lane, ramp = self.settings, endpoint.lane, endpoint.health is Health.RAMP
         known = lane.reported or lane.listed * (1.0 if s.weights is hb.Weights.NOMINAL else ROUGH_SURE)
-        age = (self.now - lane.served_us) / (6 * SERVED_SPAN_US)
-        mine = max(known / s.senders, lane.served * math.exp(-age))
-        mine /= max(1, sum(e.usable for e in lane.endpoints))
+        mine = known / s.senders / max(1, sum(e.usable for e in lane.endpoints))
         back = self.now - endpoint.since_us if ramp else s.fall_us / 2
         capacity = min(1.0, s.start_capacity + (1.0 - s.start_capacity) * back / max(1, s.cold_us))
         rate = COLD_MARGIN * s.fall_multiple * capacity * mine
-        # Danger: senders that were told the same wait all call in the moment it ends. Where a capacity
-        # is known, each keeps to its part of the budget. The cap lets a small one be seen to return.
-        high = TRICKLE_US[1] * max(2, s.senders)
-        if endpoint.health is Health.SUSPECT:
-            high = TRICKLE_US[1]  # not known to be out: no budget binds yet
-        return int(
-            min(max(SECOND / max(rate, 1e-6), 0 if ramp else TRICKLE_US[0]), high)
-            * self.rng.uniform(0.8, 1.2)
-        )
+        # Danger: senders told the same wait all call in the moment it ends; so each keeps to its part of
+        # the budget, where a capacity is known. Among many that is less than a call in a message's life; but
+        # messages held are as many as came in the outage: one try from each in some times its age is safe.
+        aged = max(CEILING_US, TRICKLE_AGE * (self.now - endpoint.lost_us))
+        high = min(aged, TRICKLE_US[1] * max(2, s.senders))
+        least = 0 if ramp else TRICKLE_US[0]
+        return int(min(max(SECOND / max(rate, 1e-6), least), high) * self.rng.uniform(0.8, 1.2))
 
     def _useful_us(self, home: Destination, times: float = 1.0) -> int:
         """The shortest time with which a try is worth starting: so many usual ones, as it fares now."""
@@ -547,7 +561,7 @@
         """Half the time left, reduced so that a try that hangs leaves room for another one."""
         left = message.end_us - self.now - MARGIN_US
         half = max(left // 2, min(left, self._useful_us(message.home)))
-        patience = call.endpoint.patience_us(call.weight)
+        patience = call.endpoint.patience_us()
         # Danger: where some calls are lost on the way, every long time-out is a late delivery.
         room = int((min(message.doubt_us, self.now) + message.kind.window_us - self.now) * WINDOW_SHARE)
         fits = message.kind.effect is hb.Effect.KEYED and room >= patience
@@ -581,40 +595,29 @@
         return max(lane.hold_us, lane.pace.next_us(self.now), self._health_opens(endpoint))
 
     def _health_opens(self, endpoint: Endpoint) -> int:
-        if len(endpoint.calls) >= endpoint.most_out:
-            return NEVER
         if endpoint.health is Health.WELL:
+            # Danger: calls to a silent endpoint pile up and hold the slots of all others, and their time-outs
+            # come too late to keep its return safe. Hurts where single calls take very long.
             call = endpoint.calls[0] if endpoint.calls else None
-            # Danger: calls to a silent endpoint pile up and hold the slots of all others. One that has
-            # answered nothing for long gets a trickle. Hurts where single calls take very long.
-            silent = call is not None and call.sent_us > endpoint.ok_us
-            if silent and call and self.now - call.sent_us > endpoint.patience_us(call.weight):
-                endpoint.turn(Health.SUSPECT, self.now)
-                endpoint.next_us = self.now + self._spacing_us(endpoint)
-            return self.now
+            if not call or not endpoint.ok_us < call.sent_us < self.now - endpoint.patience_us():
+                return self.now
+            endpoint.lost_us = min(endpoint.lost_us, call.sent_us)
+            self._out(endpoint, "silence")
         new = max(endpoint.since_us, self.now - endpoint.patience_us())  # an older trial is lost
         trial = any(call.sent_us > new for call in endpoint.calls)
         return NEVER if trial and endpoint.health is not Health.RAMP else endpoint.next_us
 
     def _choose(self, message: Message) -> Endpoint | None:
         """The endpoint for a message: one that answers, with few calls out and a warm connection."""
-        best: Endpoint | None = None
-        best_rank: tuple[int, int, int] = (9, 0, 0)
-        for endpoint in message.home.endpoints:
-            if not endpoint.usable or self._endpoint_opens(endpoint) > self.now:
-                continue
-            trial = endpoint.health in (Health.OUT, Health.SUSPECT)
-            # Danger: a trial call that is lost ends an unsafe message, so it waits until the end nears;
-            # and a trial that is cut off by the end of its message tells nothing.
-            left = message.end_us - self.now
-            unsafe = message.kind.effect is hb.Effect.UNSAFE and left > message.kind.deadline_us // 2
-            if trial and (unsafe or left < endpoint.patience_us()):
-                continue
-            fit = message.kind.effect is hb.Effect.SAFE and not message.calls
-            rank = (1 if not trial else 0 if fit else 2, len(endpoint.calls), -endpoint.last_us)
-            if rank < best_rank:
-                best, best_rank = endpoint, rank
-        return best
+        # Danger: a trial call that is lost ends an unsafe message, so it waits until the end nears, but
+        # where connects fail: it never ran then. A trial cut off by the end of its message tells nothing.
+        left = message.end_us - self.now
+        unsafe = message.kind.effect is hb.Effect.UNSAFE and left > message.kind.deadline_us // 2
+        open_now = [e for e in message.home.endpoints if e.usable and self._endpoint_opens(e) <= self.now]
+        for e in [e for e in open_now if e.health is Health.OUT]:
+            if left < e.patience_us() or (unsafe and e.barred_us < e.since_us):
+                open_now.remove(e)
+        return min(open_now, key=lambda e: (e.health is Health.OUT, len(e.calls), -e.last_us), default=None)
 
     def _admit(self) -> None:
         """Give slots, pace and endpoints to the waiting messages that lose most by waiting."""
@@ -630,10 +633,11 @@
             if (endpoint := self._choose(message)) is None:
                 continue
             more: list[Message] = []
-            if home.kind.bundle_max > 1 and endpoint.health in (Health.WELL, Health.RAMP):
+            if home.kind.bundle_max > 1 and endpoint.health is not Health.OUT:
                 more = [m for m in home.waiting if m.retry_us <= self.now and m is not message]
                 more = sorted(more, key=self._press, reverse=True)[: home.kind.bundle_max - 1]
-            call = Call(endpoint, self.now, 1 + len(more))
+            idle = self.now - endpoint.ended_us > STALE_IDLE_US and not endpoint.calls
+            call = Call(endpoint, self.now, idle)
             for each in [message, *more]:
                 self._send(each, call)
 
@@ -642,7 +646,7 @@
         endpoint, lane, kind, now = call.endpoint, call.endpoint.lane, message.kind, self.now
         joins = call.open > 0
         bound = message.may_have_run and kind.effect is hb.Effect.KEYED and kind.group != "all"
-        rests = not message.calls and self.key_rest.get(message.key or -1, 0) > now
+        rests = not message.calls and self.key_rest.get(-1 if message.key is None else message.key, 0) > now
         barred = (
             (message.over or message.out > 0)  # ended, or out already: no second copies
             or len(message.calls) >= self.settings.attempt_cap
@@ -652,7 +656,6 @@
             or now > message.last_start_us(MARGIN_US)  # hard cap, the key's window, or a second effect
             or (bound and endpoint.zone != message.doubt_zone)  # another group does not know the key
             or (message.key is not None and (rests or self.keys[message.key][0] is not message))  # order
-            # a call of its own: no slot; or cold, out, or with no connection to spare
             or (not joins and self.slots_used >= self.settings.slots)
             or (not joins and self._endpoint_opens(endpoint) > now)
         )
@@ -664,7 +667,7 @@
             endpoint.calls.append(call)
             endpoint.last_us = now
             if endpoint.health is not Health.WELL:
-                endpoint.next_us = now + int(self._spacing_us(endpoint) * call.weight)
+                endpoint.next_us = now + self._spacing_us(endpoint)
         call.open += 1
         message.calls.append(call)
         message.out += 1
@@ -674,7 +677,6 @@
     def _answer(self, message: Message) -> None:
         """The only place that gives final answers, at once when a message is given up."""
         if message.out == 0 and message.harmless:
-            # the client should stay away until the wait, the trickle or the queue is through
             home, most = message.home, self.settings.max_retry_after_us * self.settings.retry_after
             rate = max((e.lane.pace.rate or 0.0 for e in home.endpoints), default=0.0)
             queue = int(len(home.waiting) / rate * SECOND) if rate else 0
@@ -685,10 +687,9 @@
         self._over(message)
 
     def _over(self, message: Message) -> None:
-        if not message.over:
-            message.over = True
-            if message in message.home.waiting:
-                message.home.waiting.remove(message)
+        if not message.over and message in message.home.waiting:
+            message.home.waiting.remove(message)
+        message.over = True
         if message.out > 0:
             return
         self.messages.pop(message.id, None)
@@ -708,7 +709,6 @@
             self._answer(message)
 
     def _watch(self, message: Message) -> None:
-        """Look at a message again at its hard cap."""
         last = message.last_start_us(self._useful_us(message.home))
         heapq.heappush(self.due, (max(self.now, last) + 1, message.id))
 
--- a/honeybarrow/drill.py
+++ b/honeybarrow/drill.py
@@ -350,6 +350,8 @@
             return f"after {who} mark={action.mark} offsetUs={action.delay_us}"
         case hb.Subscribe():
             return f"listen {who} enable={int(action.enable)}"
+        case hb.CloseIdle():
+            return f"release {who} target={action.target}"
         case hb.Log():
             return f"debug {who} text={action.text}"
 
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -274,6 +274,13 @@
     enable: bool = True
 
 
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close this sender's idle connections to an endpoint; calls that are out run on."""
+
+    target: str
+
+
 @dataclass(slots=True, frozen=True)
 class Log:
     """A line for the people on call."""
@@ -281,4 +288,4 @@
     text: str = field(default="")
 
 
-Action = Send | HandBack | GiveUp | SetTimer | Subscribe | Log
+Action = Send | HandBack | GiveUp | SetTimer | Subscribe | CloseIdle | Log
