--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -114,8 +114,8 @@
 PACE_STEP = 0.2  # but no more than this part of a small pace, or half of all calls would be refused
 PACE_REGAIN = 0.5  # part of the lower bound added on a success under it: two successes lead back
 # Danger: among many senders the part of one is a call in a minute, longer than a message lives. A pace
-# under one call for each longest wait is left to the waits themselves; they back off and are jittered.
-PACE_SPARSE = SECOND / CEILING_US
+# under one call for two longest waits is left to the waits themselves; they back off and are jittered.
+PACE_SPARSE = SECOND / CEILING_US / 2
 PACE_LEAST = 0.05  # calls a second: under it, a destination's recovery would go unseen for too long
 PACE_BURST_S = 0.4  # unused pace that may be saved up
 LIMIT_BAND = (0.6, 1.3)  # where a limit is known the pace stays this near to this sender's part of it
@@ -173,10 +173,10 @@
 ERROR_SHARE_OUT = 0.5  # share of recent calls failing at which an endpoint counts as out
 ERROR_WEIGHT = 0.15  # weight of the newest call in that share
 SHUT_US = 2_200_000  # told or seen refusing for longer than any usual span of a limit: it is shut
-SHUT_LEAST = 4  # and for at least so many calls in a row
+SHUT_LEAST = 3  # and for at least so many calls in a row
 COLD_MARGIN = 0.7  # part of the budget for a returning destination that is used; the rest is chance
 TRICKLE_US = (300_000, 750_000)  # between trial calls: the least, and the most for each sender
-TRICKLE_AGE = 4.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
+TRICKLE_AGE = 8.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
 STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -121,6 +121,7 @@
         (hb.GiveUp("t/a"), "error forwarder=3 txn=t/a"),
         (hb.SetTimer("m", 9), "after forwarder=3 mark=m offsetUs=9"),
         (hb.Subscribe(), "listen forwarder=3 enable=1"),
+        (hb.CloseIdle("x:1"), "release forwarder=3 target=x:1"),
         (hb.Log("two words"), "debug forwarder=3 text=two words"),
     ]
     for action, line in wire:
