Pace by the measured share of a reported limit; idle connections kept by reuse

The assumption that did not carry over: that a front layer spreads traffic evenly.

The adapter did not pass the idle time on; it does now. One is kept only where this sender's demand reuses it within the idle time, times few over senders. Not carried over: that a full table is learned from a quick answer after a failed connect; a sparse sender makes no call soon enough. Could hurt: handshakes of slow links.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -119,6 +119,7 @@
 PACE_LEAST = 0.05  # calls a second: under it, a destination's recovery would go unseen for too long
 PACE_BURST_S = 0.4  # unused pace that may be saved up
 LIMIT_BAND = (0.6, 1.3)  # where a limit is known the pace stays this near to this sender's part of it
+ASKED_US = 8_000_000  # over how long a sender's own demand is measured, for its part
 
 
 @dataclass(slots=True)
@@ -180,6 +181,7 @@
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
 STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
+TABLE_FEW = 6  # senders whose idle connections any table holds; such tables take some times as many calls
 STALE_SPAN_US = 15_000_000  # idle connections are closed for so long after one was lost
 
 
@@ -240,6 +242,7 @@
     hold_us: int = 0
     listed: float = 0.0
     reported: float = 0.0
+    room: float = 0.0  # share of the limit that was left, as reported
     opens_us: int = NEVER  # when it opens, where it told so as it was shut
     rest_us: int = 0  # and when this sender calls again, for others were told the same
     refusing_us: int = NEVER  # first refusal since the last success
@@ -254,6 +257,14 @@
     shared: Lane = field(default_factory=Lane)
     endpoints: list[Endpoint] = field(default_factory=list)
     waiting: list[Message] = field(default_factory=list)
+    asked: float = 0.0  # messages a second that this sender is given for it, lately
+    asked_us: int = 0
+
+    def ask(self, now: int, more: float = 1.0) -> float:
+        """Count a message, or none; the rate over the last seconds."""
+        self.asked = self.asked * math.exp((self.asked_us - now) / ASKED_US) + more * SECOND / ASKED_US
+        self.asked_us = now
+        return self.asked
 
 
 # --- admission -------------------------------------------------------------------------------------
@@ -279,7 +290,8 @@
         self.classes = {c.name: c for c in settings.classes}
         self.floors = {c.name: retry_floor(c, settings.fade, settings.attempt_cap) for c in settings.classes}
         self.kinds = {k.name: k for k in settings.kinds}
-        self.limit_field = settings.load_fields.index("x1") if "x1" in settings.load_fields else -1
+        fields = settings.load_fields
+        self.room_field, self.limit_field = (fields.index(f) if f in fields else -1 for f in ("x0", "x1"))
         self.endpoints: dict[str, Endpoint] = {}
         self.destinations: dict[int, Destination] = {}
         self.messages: dict[str, Message] = {}
@@ -386,6 +398,7 @@
         if kind is None:
             raise ValueError(f"message {event.message!r} has the unknown class {event.class_name!r}")
         home = self._home(event.destination, "")
+        home.ask(self.now)
         born = self.now + event.left_us - kind.deadline_us
         share = self._share(event) * kind.worth
         message = Message(event.message, kind, home, born, self.now + event.left_us, share)
@@ -439,8 +452,12 @@
 
     def _close_idle(self, endpoint: Endpoint) -> None:
         # Danger: idle connections of many senders fill a small table and keep all others out; and one
-        # dropped unseen loses the call, which ends an unsafe message. Costs a handshake for each call.
-        crowded = endpoint.home.kind.name in self.tight
+        # dropped unseen loses the call, which ends an unsafe message. Costs a handshake for each call, so
+        # one is kept where this sender's own demand reuses it soon: before it idles out where it shares the
+        # table with few, so much sooner with many that all together keep no more than few would.
+        home, span = endpoint.home, min(1.0, TABLE_FEW / self.settings.senders) * self.settings.idle_us
+        rare = home.ask(self.now, 0.0) * span < SECOND * len(home.endpoints)
+        crowded = rare or home.kind.name in self.tight
         if not endpoint.calls and (crowded or endpoint.stale or self.now < self.stale_us):
             self.actions.append(hb.CloseIdle(endpoint.target))
 
@@ -464,6 +481,8 @@
         endpoint, lane, status = call.endpoint, call.endpoint.lane, event.status
         if 0 <= self.limit_field < len(event.load):
             lane.reported = event.load[self.limit_field] or lane.reported
+        if 0 <= self.room_field < len(event.load):
+            lane.room = min(1.0, max(0.0, event.load[self.room_field]))
         fresh = call.sent_us >= endpoint.ok_us  # nothing sent later has been answered
         endpoint.errors += ERROR_WEIGHT * ((status is hb.Status.ERROR) - endpoint.errors)
         if status is hb.Status.OK:
@@ -472,7 +491,7 @@
         endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
         endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
         if status is hb.Status.FULL:
-            lane.pace.refused(self.now, call.sent_us, self._bounds(lane))
+            lane.pace.refused(self.now, call.sent_us, self._bounds(endpoint))
             lane.refusing_us = min(lane.refusing_us, self.now)
             lane.refusals += 1
             # Danger: a shut destination opens for all senders at once, and cold. Refusals that go on,
@@ -514,7 +533,7 @@
         if endpoint.health is Health.WELL:
             endpoint.lost_us = NEVER
         lane.refusing_us, lane.refusals = NEVER, 0
-        lane.pace.succeeded(self._bounds(lane))
+        lane.pace.succeeded(self._bounds(endpoint))
         if endpoint.health is Health.RAMP and self.now - endpoint.since_us >= self.settings.cold_us:
             endpoint.turn(Health.WELL, self.now)
             self.actions.append(hb.Log(f"warm again: {endpoint.target}"))
@@ -549,9 +568,15 @@
         root = math.sqrt(start * start + 2 * slope * due * self.rng.random())
         return opens + int((root - start) / max(slope, 1e-6) * SECOND)
 
-    def _bounds(self, lane: Lane) -> tuple[float, float]:
+    def _bounds(self, endpoint: Endpoint) -> tuple[float, float]:
         """Between what the pace may lie, where a limit is known."""
-        part = (lane.reported or lane.listed) / self.settings.senders
+        lane, even = endpoint.lane, 1.0 / self.settings.senders
+        # Danger: where each client has a sender of its own, a busy one is held to an even part of a limit
+        # that others leave unused. Where reports tell what all use, its part is its own share of that.
+        used = lane.reported * max(1.0 - lane.room, even)
+        told = used > 0 and self.room_field >= 0
+        share = min(1.0, endpoint.home.ask(self.now, 0.0) / used) if told else 0.0
+        part = (lane.reported or lane.listed) * max(even, share)
         low, high = part * LIMIT_BAND[0], max(PACE_SPARSE, part * LIMIT_BAND[1])
         return (low, high) if part > 0 else (0.0, float(NEVER))
 
--- a/honeybarrow/drill.py
+++ b/honeybarrow/drill.py
@@ -202,6 +202,7 @@
         retry_after=limits.flag("retryAfter"),
         max_retry_after_us=limits.whole("maxRetryAfterUs", 0),
         connect_timeout_us=limits.whole("connectTimeoutUs", 1_000_000),
+        idle_us=limits.whole("connIdleUs", 10_000_000),
         on_request=top.text("membershipMode", "pushed") == "on_request",
         ask_within_us=rules.whole("askWithinUs", 0),
         drain_grace_us=rules.whole("drainGraceUs", 0),
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -86,6 +86,7 @@
     retry_after: bool = False
     max_retry_after_us: int = 0
     connect_timeout_us: int = 1_000_000
+    idle_us: int = 10_000_000
     on_request: bool = False
     ask_within_us: int = 0
     drain_grace_us: int = 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -570,3 +570,40 @@
     assert caller.until_sent("m", 20 * SECOND)
     caller.end("m", hb.Status.OK)
     assert caller.sender.endpoints["a:1"].since_us == 8 * SECOND
+
+
+def test_a_busy_sender_gets_its_measured_share_of_a_reported_limit() -> None:
+    """Where each client has a sender of its own, an even part starves the busy ones."""
+    it = Caller(senders=100, slots=20, load_fields=("x0", "x1"))
+    it.know("a:1")
+    report = (0.2, 10.0)  # eight calls a second in all
+    for n in range(40):  # of which two and a half are this sender's
+        it.arrive(f"m{n}")
+        it.end(f"m{n}", hb.Status.OK, load=report)
+        it.wait(400_000)
+    low, high = it.sender._bounds(it.sender.endpoints["a:1"])
+    assert 1.5 < low < 2.5 < high < 5.0
+    it.arrive("full")
+    it.end("full", hb.Status.FULL, load=report)
+    assert it.until_sent("full")
+    it.end("full", hb.Status.OK, load=report)
+    for n in range(20):
+        it.arrive(f"n{n}")
+        assert it.sent(f"n{n}") or it.until_sent(f"n{n}", 2 * SECOND)
+        it.end(f"n{n}", hb.Status.OK, load=report)
+    assert (it.sender.endpoints["a:1"].lane.pace.rate or 0) > 1.5  # an even part: 0.25
+
+
+def test_a_connection_is_kept_only_where_demand_reuses_it_before_it_idles_out() -> None:
+    it = Caller(idle_us=5 * SECOND, slots=20)
+    it.know("a:1")
+    for n in range(6):  # a call in 8 s: closed each time
+        it.arrive(f"rare{n}")
+        it.end(f"rare{n}", hb.Status.OK)
+        it.wait(8 * SECOND)
+    assert it.other.count(hb.CloseIdle("a:1")) == 6
+    for n in range(20):  # two a second: kept, among a few senders
+        it.arrive(f"often{n}")
+        it.end(f"often{n}", hb.Status.OK)
+        it.wait(SECOND // 2)
+    assert it.other.count(hb.CloseIdle("a:1")) < 9
