Small tables learned by a second try; scarce slots by loss for their time

The assumption behind the learning did not carry over: one failed connect was taken for an outage, and the trial that could show a mere full table came seconds later. Now it takes one more loss, the retry comes at once, and its answer shows the small table. Could hurt: a crash is seen one call later at each sender.

Ruled out: room (refusals follow), told waits. Could hurt: slow destinations wait longest, where slots are short.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -181,7 +181,6 @@
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
 STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
-TABLE_FEW = 6  # senders whose idle connections any table holds; such tables take some times as many calls
 STALE_SPAN_US = 15_000_000  # idle connections are closed for so long after one was lost
 
 
@@ -453,10 +452,9 @@
     def _close_idle(self, endpoint: Endpoint) -> None:
         # Danger: idle connections of many senders fill a small table and keep all others out; and one
         # dropped unseen loses the call, which ends an unsafe message. Costs a handshake for each call, so
-        # one is kept where this sender's own demand reuses it soon: before it idles out where it shares the
-        # table with few, so much sooner with many that all together keep no more than few would.
-        home, span = endpoint.home, min(1.0, TABLE_FEW / self.settings.senders) * self.settings.idle_us
-        rare = home.ask(self.now, 0.0) * span < SECOND * len(home.endpoints)
+        # a connection is kept where, by this sender's own demand, its next call comes before it idles out.
+        home = endpoint.home
+        rare = home.ask(self.now, 0.0) * self.settings.idle_us < SECOND * len(home.endpoints)
         crowded = rare or home.kind.name in self.tight
         if not endpoint.calls and (crowded or endpoint.stale or self.now < self.stale_us):
             self.actions.append(hb.CloseIdle(endpoint.target))
@@ -506,9 +504,11 @@
             lane.opens_us = NEVER
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
             # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
-            # its kind, tell them apart; else one failed connect is enough: it is seldom chance.
+            # its kind, tell them apart; else a failed connect, seldom chance, needs but one more loss. An
+            # answer to that try shows the small table, which a sender of few calls would never learn.
             full = endpoint.calls or endpoint.home.kind.name in self.tight
-            endpoint.streak += fresh * (STREAK_OUT if status is hb.Status.CONNECT_FAILED and not full else 1)
+            alone = status is hb.Status.CONNECT_FAILED and not full
+            endpoint.streak += fresh * (STREAK_OUT - 1 if alone else 1)
         if endpoint.health is Health.OUT:
             endpoint.next_us = max(endpoint.next_us, lane.rest_us)
             return
@@ -668,7 +668,8 @@
         """Give slots, pace and endpoints to the waiting messages that lose most by waiting."""
         homes = [h for h in self.destinations.values() if h.waiting and self._opens_us(h) <= self.now]
         ready = [m for home in homes for m in home.waiting if m.retry_us <= self.now]
-        ready.sort(key=self._press, reverse=True)
+        # Danger: slow destinations keep few slots busy while quick ones wait; so loss counts by slot time.
+        ready.sort(key=lambda m: self._press(m) / self._useful_us(m.home), reverse=True)
         for message in ready:
             home = message.home
             # Danger: one slow or silent destination takes all slots. It is left a part of the free ones.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -318,12 +318,43 @@
     endpoint = it.sender.endpoints["a:1"]
     it.arrive("m")
     it.end("m", hb.Status.CONNECT_FAILED)
+    assert it.until_sent("m", 3 * SECOND)
+    it.end("m", hb.Status.CONNECT_FAILED)
     assert endpoint.health.value == "out"
     assert it.until_sent("m", 3 * SECOND)
     it.end("m", hb.Status.OK)
     assert endpoint.health.value == "well"
 
 
+def test_a_sender_of_few_calls_learns_of_a_small_table_by_trying_again_at_once() -> None:
+    """Taken for an outage, a full table would be met by a trial seconds later and then a ramp."""
+    it = caller(senders=200)
+    it.arrive("m")
+    it.end("m", hb.Status.CONNECT_FAILED)
+    assert it.sender.endpoints["a:1"].health is decide.Health.WELL
+    assert it.until_sent("m", SECOND)
+    it.end("m", hb.Status.OK)
+    it.arrive("n")
+    it.end("n", hb.Status.OK)
+    assert it.sender.tight
+
+
+def test_scarce_slots_go_where_they_earn_most_for_their_time() -> None:
+    it = Caller(slots=1)
+    it.know("slow:1")
+    it.know("quick:1", destination=2)
+    for n in range(12):
+        for number, took in ((1, 900_000), (2, 50_000)):
+            it.arrive(f"m{n}-{number}", destination=number)
+            it.wait(took)
+            it.end(f"m{n}-{number}", hb.Status.OK)
+    it.arrive("busy", destination=2)
+    it.arrive("slow", destination=1)
+    it.arrive("quick", destination=2)
+    it.end("busy", hb.Status.OK)
+    assert it.sent("quick") and not it.sent("slow")
+
+
 def test_among_many_senders_trials_back_off_with_the_age_of_the_outage() -> None:
     """The part of a budget would be one trial in minutes; the trials of all at once push it over."""
     it = Caller(senders=300)
@@ -423,6 +454,8 @@
     it.know("a:1")
     it.arrive("m0")
     it.end("m0", hb.Status.CONNECT_FAILED)
+    assert it.until_sent("m0")
+    it.end("m0", hb.Status.CONNECT_FAILED)
     for n in range(1, 6):
         it.arrive(f"m{n}")
     before = len(it.sends)
