Rule on returning destinations: a lane rests after any failure, the longer it fails

Cause, from the tap: it was silent, and each connect took its second to fail. At a kind known for small tables three failures in a row are asked of each of its two endpoints before an outage is suspected, and a sender of few calls has one to three in ten seconds; so most of 193 senders retried by the backoff alone, 0.3 to 2 s apart, ten calls in half a second at the return, three of four from senders that had seen one fail. Ruled out: told waits (none), trials and ramp (few had suspected it), new messages (7 of 17). The assumption that did not carry over: that a sender's own failures in a row tell an outage soon enough.

Why not again: the rest that spread senders after refusals now follows any failure. It grows with the time since the first call that failed without a success after, by what half the stated budget needs, so that all senders' calls keep to it however few each has made; it ends with a success. One defence for refusals, shut destinations, silence, failed connects and errors; with one sender there is no rest, among few next to none. It could hurt where calls are lost one by one among hundreds (answer_lost).

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -243,7 +243,8 @@
     reported: float = 0.0
     room: float = 0.0  # share of the limit that was left, as reported
     opens_us: int = NEVER  # when it opens, where it told so as it was shut
-    rest_us: int = 0  # and when this sender calls again, for others were told the same
+    failing_us: int = NEVER  # when the first call was sent of those that failed since the last success
+    rest_us: int = 0  # till when this sender stays away after a failure, for others fail alike
     refusing_us: int = NEVER  # first refusal since the last success
     refusals: int = 0  # and how many
 
@@ -488,6 +489,7 @@
             return
         endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
         endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
+        lane.failing_us = min(lane.failing_us, call.sent_us) if fresh else lane.failing_us
         if status is hb.Status.FULL:
             lane.pace.refused(self.now, call.sent_us, self._bounds(endpoint))
             lane.refusing_us = min(lane.refusing_us, self.now)
@@ -496,12 +498,13 @@
             # or a told wait, longer than a limit's span are an outage. Hurts where spans are longer.
             long = lane.refusals >= SHUT_LEAST and self.now - lane.refusing_us > SHUT_US
             lane.opens_us = lane.hold_us if event.wait_us > SHUT_US else NEVER
-            lane.rest_us = self._after_us(lane, max(self.now, lane.hold_us))
+            lane.rest_us = self._after_us(lane)
             if long or event.wait_us > SHUT_US:
                 for each in lane.endpoints:
                     self._out(each, "refuses all")
         else:
             lane.opens_us = NEVER
+            lane.rest_us = self._after_us(lane) if fresh else lane.rest_us
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
             # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
             # its kind, tell them apart; else a failed connect, seldom chance, needs but one more loss. An
@@ -532,7 +535,8 @@
         endpoint.stale = False
         if endpoint.health is Health.WELL:
             endpoint.lost_us = NEVER
-        lane.refusing_us, lane.refusals = NEVER, 0
+        lane.failing_us = lane.refusing_us = NEVER
+        lane.refusals = 0
         lane.pace.succeeded(self._bounds(endpoint))
         if endpoint.health is Health.RAMP and self.now - endpoint.since_us >= self.settings.cold_us:
             endpoint.turn(Health.WELL, self.now)
@@ -553,16 +557,20 @@
             later = self.now + int(self._spacing_us(endpoint) * self.rng.uniform(0.2, 1.0))
             endpoint.next_us = endpoint.lane.rest_us if endpoint.lane.opens_us < NEVER else later
 
-    def _after_us(self, lane: Lane, opens: int) -> int:
-        """A random time after it opens, at which this sender calls a lane that refused."""
-        # Danger: what came while a lane was shut goes off as it opens, from hundreds told the same, and a
-        # cold destination falls over. So calls are spread as its capacity comes back: over the cold time if
-        # it told that it is shut; else over what the budget needs for all that came since the first refusal,
-        # or one call from each sender, in half the budget. A limit's wait is short, and so is its spread.
+    def _after_us(self, lane: Lane) -> int:
+        """A random time after a failure, and the wait it told, at which this sender calls a lane again."""
+        # Danger: what came in an outage goes off as it ends, from hundreds told the same or with too few
+        # failures each to suspect it, and a cold destination falls over. So calls are spread as its capacity
+        # comes back: over the cold time if it told that it is shut; else over what half the budget needs for
+        # all that came since the first failure, or one call from each sender. A limit's wait is short, a full
+        # table fails at once, and so the rest is short; it hurts where calls are lost one by one.
         s, cold = self.settings, self.settings.cold_us / SECOND
         start, slope = s.start_capacity, max(0.0, 1.0 - s.start_capacity) / max(cold, 1e-6)
         known = lane.reported or lane.listed * (1.0 if s.weights is hb.Weights.NOMINAL else ROUGH_SURE)
-        held = min((opens - lane.refusing_us) / SECOND, s.senders / known if known > 0 else math.inf)
+        opens = max(self.now, lane.hold_us)
+        others = s.senders - 1
+        held = (opens - min(lane.failing_us, opens)) / SECOND * others / s.senders
+        held = min(held, others / known) if known > 0 else held
         most = start * cold + slope * cold * cold / 2  # of the usual calls a second: the cold time's part
         due = most if lane.opens_us < NEVER else min(most, 2 * held / (COLD_MARGIN * s.fall_multiple))
         root = math.sqrt(start * start + 2 * slope * due * self.rng.random())
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -640,3 +640,27 @@
         it.end(f"often{n}", hb.Status.OK)
         it.wait(SECOND // 2)
     assert it.other.count(hb.CloseIdle("a:1")) < 9
+
+
+def test_retries_rest_longer_the_longer_a_destination_fails() -> None:
+    """Failures too few at each sender to suspect an outage still add up to its fall among hundreds."""
+    later: list[int] = []
+    for number in range(100):
+        long = (hb.MessageClass("note", 3 * SECOND, 60 * SECOND, late_share=0.4),)
+        it = Caller(senders=100, weights=hb.Weights.NOMINAL, fall_us=1_500_000, classes=long)
+        it.sender.rng.seed(number)
+        rows = tuple(hb.Endpoint(t, 1, hb.EndpointState.READY, "shop", weight=10.0) for t in ("a:1", "a:2"))
+        it.feed(hb.MembershipNews(hb.ListKind.FULL, 1, rows))
+        it.sender.tight["shop"] = True
+        it.arrive("m")
+        for _ in range(2):
+            it.wait(SECOND)  # silent: each connect takes its second
+            it.end("m", hb.Status.CONNECT_FAILED)
+            failed = it.now
+            assert it.until_sent("m", 14 * SECOND)
+            later.append(it.now - failed)
+    first, second = sorted(later[::2]), sorted(later[1::2])
+    assert first[50] > SECOND and second[50] > 3 * SECOND
+    for start in range(0, 6 * SECOND, SECOND // 2):  # a hundred senders; a budget of 6 calls and growing
+        capacity = 10.0 * (0.2 + 0.8 * (start / SECOND + 0.75) / 10)
+        assert sum(start <= at < start + 1_500_000 for at in second) < 2.0 * capacity * 1.5 * 3
