A call lost on an idle connection brings no rest

Such a loss tells of the connection, not of the destination, so the first one brings no rest; one on a new connection does.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -214,6 +214,7 @@
     barred_us: int = 0  # last failed connect
     ended_us: int = -1  # when the last call ended: its connections are idle since
     stale: bool = False  # a call was lost on a connection that had been idle
+    kept: bool = False  # its connections were left open after the last call
 
     def patience_us(self) -> int:
         """How long a call may take here before it is late."""
@@ -457,7 +458,8 @@
         home = endpoint.home
         rare = home.ask(self.now, 0.0) * self.settings.idle_us < SECOND * len(home.endpoints)
         crowded = rare or home.kind.name in self.tight
-        if not endpoint.calls and (crowded or endpoint.stale or self.now < self.stale_us):
+        endpoint.kept = not (crowded or endpoint.stale or self.now < self.stale_us)
+        if not endpoint.calls and not endpoint.kept:
             self.actions.append(hb.CloseIdle(endpoint.target))
 
     def _retry(self, message: Message) -> None:
@@ -489,7 +491,9 @@
             return
         endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
         endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
-        lane.failing_us = min(lane.failing_us, call.sent_us) if fresh else lane.failing_us
+        # Lost on an idle connection: dropped unseen there, most likely; only the next loss tells of the lane.
+        fresh_loss = fresh and not (call.idle and status in (hb.Status.TIMEOUT, hb.Status.RESET))
+        lane.failing_us = min(lane.failing_us, call.sent_us) if fresh_loss else lane.failing_us
         if status is hb.Status.FULL:
             lane.pace.refused(self.now, call.sent_us, self._bounds(endpoint))
             lane.refusing_us = min(lane.refusing_us, self.now)
@@ -504,7 +508,7 @@
                     self._out(each, "refuses all")
         else:
             lane.opens_us = NEVER
-            lane.rest_us = self._after_us(lane) if fresh else lane.rest_us
+            lane.rest_us = self._after_us(lane) if fresh_loss else lane.rest_us
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
             # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
             # its kind, tell them apart; else a failed connect, seldom chance, needs but one more loss. An
@@ -690,7 +694,7 @@
             if home.kind.bundle_max > 1 and endpoint.health is not Health.OUT:
                 more = [m for m in home.waiting if m.retry_us <= self.now and m is not message]
                 more = sorted(more, key=self._press, reverse=True)[: home.kind.bundle_max - 1]
-            idle = self.now - endpoint.ended_us > STALE_IDLE_US and not endpoint.calls
+            idle = endpoint.kept and self.now - endpoint.ended_us > STALE_IDLE_US and not endpoint.calls
             call = Call(endpoint, self.now, idle)
             for each in [message, *more]:
                 self._send(each, call)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -664,3 +664,21 @@
     for start in range(0, 6 * SECOND, SECOND // 2):  # a hundred senders; a budget of 6 calls and growing
         capacity = 10.0 * (0.2 + 0.8 * (start / SECOND + 0.75) / 10)
         assert sum(start <= at < start + 1_500_000 for at in second) < 2.0 * capacity * 1.5 * 3
+
+
+def test_a_call_lost_on_an_idle_connection_brings_no_rest_but_the_next_loss_does() -> None:
+    it = Caller(senders=100, slots=20)
+    it.know("a:1")
+    lane = it.sender.endpoints["a:1"].lane
+    for n in range(8):
+        it.arrive(f"warm{n}")
+        it.end(f"warm{n}", hb.Status.OK)
+        it.wait(SECOND // 2)
+    it.arrive("m")
+    it.wait(2 * SECOND)
+    it.end("m", hb.Status.TIMEOUT)
+    assert lane.rest_us <= it.now
+    assert it.until_sent("m", SECOND)
+    it.wait(2 * SECOND)
+    it.end("m", hb.Status.TIMEOUT)
+    assert lane.rest_us > it.now
