Rule on returning destinations: a slow failed connect spreads the next call over the cold time

Cause, from the tap: silent for 17 s, calls on new connections, each connect failing after its second. 34 of the 45 calls in the 1.5 s before the fall came from senders with a single failed connect since their last success: the rest after it, by its age of a second, was four seconds at most, and two hundred senders refill it. Ruled out: senders that suspected it (kept to trials), told waits (none), the exemption of idle connections (closed here).

Why not again: what a failed connect took beyond a usual call counts eight times in the rest, so one that waited out a second spreads the next call over most of the cold time; a full table refuses at once and stays cheap. It also covers cut networks. Could hurt where single connects hang among hundreds.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -180,6 +180,9 @@
 TRICKLE_AGE = 8.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
+REST_TIMES = 2.0  # a rest after a failure: the budget's part that it leaves to others
+# Danger: as a silent destination returns, most of hundreds have seen just one connect fail, slowly at that.
+REST_SILENT = 8.0  # a full table refuses at once, so its rest stays short
 STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
 STALE_SPAN_US = 15_000_000  # idle connections are closed for so long after one was lost
 
@@ -491,7 +494,7 @@
             return
         endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
         endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
-        # Lost on an idle connection: dropped unseen there, most likely; only the next loss tells of the lane.
+        # Lost on an idle connection: dropped unseen, most likely; only the next loss tells of the lane.
         fresh_loss = fresh and not (call.idle and status in (hb.Status.TIMEOUT, hb.Status.RESET))
         lane.failing_us = min(lane.failing_us, call.sent_us) if fresh_loss else lane.failing_us
         if status is hb.Status.FULL:
@@ -508,7 +511,9 @@
                     self._out(each, "refuses all")
         else:
             lane.opens_us = NEVER
-            lane.rest_us = self._after_us(lane) if fresh_loss else lane.rest_us
+            late = max(0, self.now - call.sent_us - int(endpoint.usual_us))  # beyond what an answer takes
+            silent = late if status is hb.Status.CONNECT_FAILED else 0
+            lane.rest_us = self._after_us(lane, silent) if fresh_loss else lane.rest_us
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
             # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
             # its kind, tell them apart; else a failed connect, seldom chance, needs but one more loss. An
@@ -539,8 +544,7 @@
         endpoint.stale = False
         if endpoint.health is Health.WELL:
             endpoint.lost_us = NEVER
-        lane.failing_us = lane.refusing_us = NEVER
-        lane.refusals = 0
+        lane.failing_us, lane.refusing_us, lane.refusals = NEVER, NEVER, 0
         lane.pace.succeeded(self._bounds(endpoint))
         if endpoint.health is Health.RAMP and self.now - endpoint.since_us >= self.settings.cold_us:
             endpoint.turn(Health.WELL, self.now)
@@ -561,7 +565,7 @@
             later = self.now + int(self._spacing_us(endpoint) * self.rng.uniform(0.2, 1.0))
             endpoint.next_us = endpoint.lane.rest_us if endpoint.lane.opens_us < NEVER else later
 
-    def _after_us(self, lane: Lane) -> int:
+    def _after_us(self, lane: Lane, silent_us: int = 0) -> int:
         """A random time after a failure, and the wait it told, at which this sender calls a lane again."""
         # Danger: what came in an outage goes off as it ends, from hundreds told the same or with too few
         # failures each to suspect it, and a cold destination falls over. So calls are spread as its capacity
@@ -572,11 +576,11 @@
         start, slope = s.start_capacity, max(0.0, 1.0 - s.start_capacity) / max(cold, 1e-6)
         known = lane.reported or lane.listed * (1.0 if s.weights is hb.Weights.NOMINAL else ROUGH_SURE)
         opens = max(self.now, lane.hold_us)
-        others = s.senders - 1
-        held = (opens - min(lane.failing_us, opens)) / SECOND * others / s.senders
-        held = min(held, others / known) if known > 0 else held
+        held = max(REST_TIMES * (opens - min(lane.failing_us, opens)), REST_SILENT * silent_us)
+        held *= (s.senders - 1) / s.senders / SECOND
+        held = min(held, REST_TIMES * (s.senders - 1) / known) if known > 0 else held
         most = start * cold + slope * cold * cold / 2  # of the usual calls a second: the cold time's part
-        due = most if lane.opens_us < NEVER else min(most, 2 * held / (COLD_MARGIN * s.fall_multiple))
+        due = most if lane.opens_us < NEVER else min(most, held / (COLD_MARGIN * s.fall_multiple))
         root = math.sqrt(start * start + 2 * slope * due * self.rng.random())
         return opens + int((root - start) / max(slope, 1e-6) * SECOND)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -682,3 +682,22 @@
     it.wait(2 * SECOND)
     it.end("m", hb.Status.TIMEOUT)
     assert lane.rest_us > it.now
+
+
+def test_one_slow_failed_connect_spreads_the_next_calls_over_most_of_the_cold_time() -> None:
+    """As a silent destination returns, most of hundreds of senders have seen a single failure."""
+    gaps: dict[int, list[int]] = {}
+    for took in (20_000, SECOND):
+        for number in range(60):
+            it = Caller(senders=200, weights=hb.Weights.NOMINAL)
+            it.sender.rng.seed(number)
+            rows = (hb.Endpoint("a:1", 1, hb.EndpointState.READY, "shop", weight=10.0),)
+            it.feed(hb.MembershipNews(hb.ListKind.FULL, 1, rows))
+            it.arrive("m")
+            it.wait(took)
+            it.end("m", hb.Status.CONNECT_FAILED)
+            failed = it.now
+            assert it.until_sent("m", 12 * SECOND)
+            gaps.setdefault(took, []).append(it.now - failed)
+    assert sorted(gaps[SECOND])[30] > 4 * SECOND
+    assert max(gaps[20_000]) < SECOND  # at once: more likely a full table
