No rest after failures among few senders

The rest guards against hundreds with too few failures each; two to four senders suspect an outage by themselves, and each holds much of the traffic.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -180,6 +180,7 @@
 TRICKLE_AGE = 8.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
+REST_FEW = 12  # senders that see enough calls each to suspect an outage by themselves, and need no rest
 REST_TIMES = 2.0  # a rest after a failure: the budget's part that it leaves to others
 # Danger: as a silent destination returns, most of hundreds have seen just one connect fail, slowly at that.
 REST_SILENT = 8.0  # a full table refuses at once, so its rest stays short
@@ -570,14 +571,13 @@
         # Danger: what came in an outage goes off as it ends, from hundreds told the same or with too few
         # failures each to suspect it, and a cold destination falls over. So calls are spread as its capacity
         # comes back: over the cold time if it told that it is shut; else over what half the budget needs for
-        # all that came since the first failure, or one call from each sender. A limit's wait is short, a full
-        # table fails at once, and so the rest is short; it hurts where calls are lost one by one.
+        # all that came since the first failure, or a call from each. Hurts where calls are lost one by one.
         s, cold = self.settings, self.settings.cold_us / SECOND
         start, slope = s.start_capacity, max(0.0, 1.0 - s.start_capacity) / max(cold, 1e-6)
         known = lane.reported or lane.listed * (1.0 if s.weights is hb.Weights.NOMINAL else ROUGH_SURE)
         opens = max(self.now, lane.hold_us)
         held = max(REST_TIMES * (opens - min(lane.failing_us, opens)), REST_SILENT * silent_us)
-        held *= (s.senders - 1) / s.senders / SECOND
+        held *= (s.senders > REST_FEW) / SECOND
         held = min(held, REST_TIMES * (s.senders - 1) / known) if known > 0 else held
         most = start * cold + slope * cold * cold / 2  # of the usual calls a second: the cold time's part
         due = most if lane.opens_us < NEVER else min(most, held / (COLD_MARGIN * s.fall_multiple))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -701,3 +701,13 @@
             gaps.setdefault(took, []).append(it.now - failed)
     assert sorted(gaps[SECOND])[30] > 4 * SECOND
     assert max(gaps[20_000]) < SECOND  # at once: more likely a full table
+
+
+def test_among_few_senders_a_failure_brings_no_rest() -> None:
+    it = Caller(senders=3)
+    it.know("a:1")
+    it.arrive("m")
+    it.wait(SECOND)
+    it.end("m", hb.Status.CONNECT_FAILED)
+    assert it.sender.endpoints["a:1"].lane.rest_us <= it.now
+    assert it.until_sent("m", SECOND)
