--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+.PHONY: run test env
+
+env: .venv/.ready
+
+.venv/.ready: requirements.txt requirements-dev.txt pyproject.toml
+	test -x .venv/bin/python || python3 -m venv .venv
+	.venv/bin/python -m pip -q install --disable-pip-version-check -r requirements-dev.txt
+	.venv/bin/python -m pip -q install --disable-pip-version-check --no-deps -e .
+	touch .venv/.ready
+
+# The bad day against stand-ins, judged; exit status 0 only if all rules held.
+run: env
+	.venv/bin/honeybarrow rehearse
+
+test: env
+	.venv/bin/ruff check honeybarrow tests benchmarks
+	.venv/bin/mypy
+	.venv/bin/python -m pytest -q
--- a/honeybarrow/__init__.py
+++ b/honeybarrow/__init__.py
@@ -32,7 +32,7 @@
     Weights,
 )
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
 __all__ = [
     "Action",
     "AttemptEnded",
--- /dev/null
+++ b/honeybarrow/cli/launch.py
@@ -0,0 +1,177 @@
+"""Plays a rehearsal with forwarders as processes of their own."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet import reactor as chosen
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import CannotListenError, ProcessExitedAlready
+from twisted.internet.protocol import ClientFactory, ProcessProtocol, Protocol
+from twisted.python.failure import Failure
+
+from honeybarrow.config.schema import Forwarder
+from honeybarrow.rehearsal import Logbook, Play, Rehearsal, report
+
+START_S = 20.0  # an interpreter and its libraries, on a machine that is busy
+POLL_S = 0.1
+STOP_S = 40.0
+
+reactor: Any = chosen
+
+
+class Child(ProcessProtocol):
+    """One forwarder process; what it says goes to a file."""
+
+    def __init__(self, log: Path) -> None:
+        self.log = log.open("ab")
+        self.ended: Deferred[None] = Deferred()
+
+    def childDataReceived(self, childFD: int, data: bytes) -> None:
+        self.log.write(data)
+
+    def processEnded(self, reason: Failure) -> None:
+        self.log.close()
+        self.ended.callback(None)
+
+
+class _Knock(ClientFactory):
+    """Tries once whether a front takes connections."""
+
+    noisy = False
+
+    def __init__(self) -> None:
+        self.open: Deferred[bool] = Deferred()
+
+    def buildProtocol(self, addr: Any) -> Protocol:
+        self.open.callback(True)
+        return _Bye()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.open.callback(False)
+
+
+class _Bye(Protocol):
+    transport: Any = None
+
+    def connectionMade(self) -> None:
+        self.transport.abortConnection()
+
+
+class Processes:
+    """Launches ``honeybarrow run`` for each forwarder of a scenario file."""
+
+    def __init__(self, file: Path, folder: Path) -> None:
+        self.file, self.folder = file, folder
+        self.children: dict[str, tuple[Child, Any]] = {}
+
+    def start(self, settings: Forwarder) -> Deferred[None]:
+        name = settings.name
+        child = Child(self.folder / f"{name}.log")
+        arguments = [sys.executable, "-m", "honeybarrow", "run", str(self.file), "--name", name]
+        arguments += ["--log-format", "json", "--log-level", "debug"]
+        process = reactor.spawnProcess(child, sys.executable, arguments, env=None)
+        self.children[name] = (child, process)
+        ready: Deferred[None] = Deferred()
+        self._knock(settings, ready, time.monotonic() + START_S, child)
+        return ready
+
+    def _knock(self, settings: Forwarder, ready: Deferred[None], until: float, child: Child) -> None:
+        if child.ended.called or time.monotonic() > until:
+            ready.errback(RuntimeError(f"forwarder {settings.name} did not start; see {child.log.name}"))
+            return
+        listen = settings.listen[0]
+        knock = _Knock()
+
+        def heard(up: bool) -> None:
+            if up:
+                ready.callback(None)
+            else:
+                reactor.callLater(POLL_S, self._knock, settings, ready, until, child)
+
+        knock.open.addCallback(heard)
+        reactor.connectTCP(listen.host, listen.port, knock, timeout=1)
+
+    def kill(self, name: str) -> None:
+        self._signal(name, "KILL")
+
+    def stop_all(self) -> Deferred[None]:
+        for name in self.children:
+            self._signal(name, "TERM")
+        hurry = reactor.callLater(STOP_S, self._kill_all)
+        all_ended = DeferredList([child.ended for child, _ in self.children.values()])
+        done: Deferred[None] = Deferred()
+
+        def ended(_: Any) -> None:
+            if hurry.active():
+                hurry.cancel()
+            done.callback(None)
+
+        all_ended.addCallback(ended)
+        return done
+
+    def _kill_all(self) -> None:
+        for name in self.children:
+            self.kill(name)
+
+    def _signal(self, name: str, signal_name: str) -> None:
+        with contextlib.suppress(ProcessExitedAlready):
+            self.children[name][1].signalProcess(signal_name)
+
+
+def play(file: Path, scenario: Rehearsal, forwarders: list[Forwarder], folder: Path | None) -> int:
+    """Play a scenario and print its report; the exit status."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return _play(file, scenario, forwarders, folder, True)
+    with tempfile.TemporaryDirectory() as temporary:
+        return _play(file, scenario, forwarders, Path(temporary), False)
+
+
+def _play(file: Path, scenario: Rehearsal, forwarders: list[Forwarder], folder: Path, keep: bool) -> int:
+    status = 1
+    began = time.monotonic()
+
+    def told(text: str) -> None:
+        click.echo(f"{time.monotonic() - began:6.1f} s  {text}", err=True)
+
+    book = Logbook(lambda: time.monotonic_ns() // 1000)
+    processes = Processes(file, folder)
+    try:
+        rehearsal = Play(scenario, forwarders, processes, reactor, book, told)
+    except CannotListenError as error:
+        click.echo(f"honeybarrow: {error}", err=True)
+        return 3
+
+    def judged(verdict: Any) -> None:
+        nonlocal status
+        text = report(verdict, scenario.name, scenario.seed)
+        click.echo(text)
+        if keep:
+            (folder / "report.txt").write_text(text + "\n", encoding="utf-8")
+            book.write(folder / "sockets.jsonl")
+        status = 0 if verdict.kept else 1
+
+    def failed(failure: Failure) -> None:
+        click.echo(f"honeybarrow: {failure.getErrorMessage()}", err=True)
+
+    def begin() -> None:
+        rehearsal.run().addCallbacks(judged, failed).addBoth(lambda _: reactor.stop())
+
+    def interrupted(*_: Any) -> None:
+        for name in processes.children:
+            processes.kill(name)
+        reactor.callFromThread(reactor.stop)
+
+    signal.signal(signal.SIGINT, interrupted)
+    signal.signal(signal.SIGTERM, interrupted)
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=True)
+    return status
--- /dev/null
+++ b/honeybarrow/cli/logs.py
@@ -0,0 +1,31 @@
+"""Structured logs: one line an event, JSON or for reading."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+def start_logging(as_json: bool, level: str, **fields: Any) -> Any:
+    """A logger on standard error whose lines carry ``fields``, the time, the event and its level."""
+    renderer: Any = (
+        structlog.processors.JSONRenderer()
+        if as_json
+        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    )
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger(**fields)
--- /dev/null
+++ b/honeybarrow/cli/main.py
@@ -0,0 +1,239 @@
+"""``honeybarrow``: check, run, stand-ins, rehearse. Exit codes: 0 well, 1 a rule was broken or the
+service failed, 2 wrong use or settings, 3 an address can't be listened on, 70 a fault of ours.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from email.utils import formatdate
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from honeybarrow import __version__, config
+from honeybarrow.cli.logs import LEVELS, start_logging
+from honeybarrow.config import schema
+from honeybarrow.decide import check as check_module
+from honeybarrow.rehearsal.schema import SCENARIO_WORDS, Rehearsal
+
+BROKEN, USAGE, CANNOT_LISTEN, FAULT = 1, 2, 3, 70
+
+log_options = [
+    click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True),
+    click.option("--log-level", type=click.Choice(list(LEVELS)), default="info", show_default=True),
+]
+
+
+def with_log_options(command: Any) -> Any:
+    for option in reversed(log_options):
+        command = option(command)
+    return command
+
+
+def fail(text: str, status: int) -> None:
+    click.echo(f"honeybarrow: {text}", err=True)
+    sys.exit(status)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="honeybarrow")
+def main() -> None:
+    """Delivers messages to many partners, by SMTP and LMTP, with one final answer for each."""
+
+
+name_option = click.option("--name", default="", help="The forwarder of this name, where FILE has several.")
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@name_option
+def check(file: Path, name: str) -> None:
+    """Check a forwarder's settings FILE and print what they come to."""
+    settings = read_forwarder(file, name)
+    try:
+        check_module(settings.settings())
+    except ValueError as error:
+        fail(f"{file}: {error}", USAGE)
+    click.echo(f"{file}: forwarder {settings.name}, {len(settings.classes)} classes, {settings.slots} slots")
+    for each in settings.classes:
+        click.echo(
+            f"  class {each.name}: {each.effect},"
+            f" aim {each.aim / 1e6:g} s, deadline {each.deadline / 1e6:g} s"
+        )
+    for listen in settings.listen:
+        click.echo(f"  {listen.protocol} on {listen.host}:{listen.port}")
+
+
+def read_forwarder(file: Path, name: str) -> schema.Forwarder:
+    """The settings, or an exit with what is wrong in them."""
+    try:
+        return config.one(config.read(file, SCENARIO_WORDS), schema.Forwarder, file, name)
+    except config.ConfigError as error:
+        fail(str(error), USAGE)
+        raise AssertionError from None
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@name_option
+@with_log_options
+def run(file: Path, name: str, log_format: str, log_level: str) -> None:
+    """Run a forwarder by its settings FILE until SIGTERM."""
+    settings = read_forwarder(file, name)
+    log = start_logging(log_format == "json", log_level, forwarder=settings.name)
+    from twisted.internet import reactor as chosen
+    from twisted.internet.error import CannotListenError
+
+    from honeybarrow.service import Service
+
+    reactor: Any = chosen
+    saved = Path(settings.register.saved_list) if settings.register.saved_list else None
+    status = 0
+
+    def crashed(error: Exception) -> None:
+        nonlocal status
+        status = FAULT
+        reactor.callLater(0.1, stop_reactor)
+
+    def stop_reactor() -> None:
+        if reactor.running:
+            reactor.stop()
+
+    service = Service(
+        settings,
+        reactor,
+        monotonic_us,
+        lambda: formatdate(localtime=False),
+        format(time.time_ns() // 1000, "x"),
+        settings.seed or int.from_bytes(os.urandom(6), "big"),
+        lambda: read_saved(saved),
+        lambda data: write_saved(saved, data, log),
+        log,
+        crashed,
+    )
+    try:
+        places = service.start()
+    except CannotListenError as error:
+        fail(str(error), CANNOT_LISTEN)
+    except ValueError as error:
+        fail(f"{file}: {error}", USAGE)
+    for protocol, host, port in places:
+        log.info("listening", protocol=protocol, host=host, port=port)
+
+    def stop(*_: Any) -> None:
+        log.info("stopping", open=service.forwarder.open)
+        service.stop().addBoth(lambda _: stop_reactor())
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(stop))
+    reactor.run(installSignalHandlers=False)
+    log.info("stopped", **counts(service))
+    sys.exit(status)
+
+
+@main.command("stand-ins")
+@click.argument("file", type=click.Path(path_type=Path))
+@with_log_options
+def stand_ins(file: Path, log_format: str, log_level: str) -> None:
+    """Run the partners and the register of a scenario FILE until SIGTERM; its troubles come as it says."""
+    scenario, forwarders = read_scenario(file)
+    log = start_logging(log_format == "json", log_level, stand_ins=scenario.name)
+    from twisted.internet import reactor as chosen
+    from twisted.internet.error import CannotListenError
+
+    from honeybarrow.rehearsal import Logbook, StandIns
+
+    reactor: Any = chosen
+    book = Logbook(
+        monotonic_us, keep=False, tell=lambda entry: log.info(entry.what, by=entry.who, **entry.fields)
+    )
+    try:
+        parts = StandIns(scenario, forwarders[0] if forwarders else None, reactor, book)
+    except CannotListenError as error:
+        fail(str(error), CANNOT_LISTEN)
+    for partner in scenario.partners:
+        for station in partner.stations:
+            port = parts.ports[station.target]
+            log.info("listening", partner=partner.name, endpoint=station.target, port=port)
+    log.info("listening", register=parts.register_port)
+    for trouble in scenario.troubles:
+        if trouble.kind not in ("kill", "burst"):
+            reactor.callLater(trouble.at / 1e6, parts.trouble, trouble)
+    reactor.run()
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path), required=False)
+@click.option("--list", "listing", is_flag=True, help="Name the scenarios that come with the program.")
+@click.option("--seed", type=int, default=None, help="Another seed than the scenario's.")
+@click.option("--report", type=click.Path(path_type=Path), default=None, help="Keep report and logs there.")
+def rehearse(file: Path | None, listing: bool, seed: int | None, report: Path | None) -> None:
+    """Play a scenario against forwarder processes and judge it; the bad day if no FILE is named."""
+    own = sorted(SCENARIOS.glob("*.star"))
+    if listing:
+        for each in own:
+            first = each.read_text(encoding="utf-8").partition("\n")[0].lstrip("# ")
+            click.echo(f"{each.stem:16} {first}")
+        return
+    path = file if file is not None else SCENARIOS / "bad-day.star"
+    if file is not None and not file.exists() and (SCENARIOS / f"{file}.star").exists():
+        path = SCENARIOS / f"{file}.star"
+    scenario, forwarders = read_scenario(path)
+    if not forwarders or not scenario.clients:
+        fail(f"{path}: a rehearsal needs forwarders and clients", USAGE)
+    if seed is not None:
+        scenario = msgspec.structs.replace(scenario, seed=seed)
+    from honeybarrow.cli.launch import play
+
+    sys.exit(play(path, scenario, forwarders, report))
+
+
+SCENARIOS = Path(__file__).parent.parent / "rehearsal" / "scenarios"
+
+
+def read_scenario(file: Path) -> tuple[Rehearsal, list[schema.Forwarder]]:
+    """The scenario and its forwarders, or an exit with what is wrong."""
+    try:
+        records = config.read(file, SCENARIO_WORDS)
+        return config.one(records, Rehearsal, file), config.every(records, schema.Forwarder)
+    except config.ConfigError as error:
+        fail(str(error), USAGE)
+        raise AssertionError from None
+
+
+def monotonic_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def counts(service: Any) -> dict[str, Any]:
+    values = service.forwarder.counts
+    return {
+        name: getattr(values, name)
+        for name in ("taken", "turned_away", "delivered", "refused", "failed", "withdrawn", "attempts")
+    }
+
+
+def read_saved(path: Path | None) -> bytes | None:
+    """The list kept from the last run, if there is one."""
+    try:
+        return path.read_bytes() if path is not None else None
+    except OSError:
+        return None
+
+
+def write_saved(path: Path | None, data: bytes, log: Any) -> None:
+    """Keep the list for the next start: the old one or the new one, never a half."""
+    if path is None:
+        return
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        fresh = path.with_name(path.name + ".new")
+        fresh.write_bytes(data)
+        fresh.replace(path)
+    except OSError as error:
+        log.warning("the list can't be saved", why=str(error))
--- /dev/null
+++ b/honeybarrow/config/schema.py
@@ -0,0 +1,215 @@
+"""The settings of a forwarder as checked values. Durations are integers in microseconds.
+
+``honeybarrow.config.script`` makes them from a Starlark script; nothing here reads files.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from honeybarrow import interface as hb
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Positive = Annotated[int, Meta(ge=1)]
+Micros = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Loopback = Annotated[str, Meta(min_length=1, max_length=255)]
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A record whose unknown fields are errors."""
+
+
+class MessageClass(Strict, frozen=True):
+    """One class of message; as :class:`honeybarrow.interface.MessageClass`."""
+
+    name: Name
+    aim: Micros
+    deadline: Positive
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    group: Literal["all", "zone"] = "all"
+    window: Micros = 0
+    worth: Annotated[float, Meta(ge=0.0)] = 1.0
+    late_share: Share = 0.0
+    keep_order: bool = False
+
+    def __post_init__(self) -> None:
+        if self.deadline < self.aim:
+            raise ValueError("deadline is under aim")
+        if self.effect == "keyed" and not self.window:
+            raise ValueError("window is missing: for how long does the partner know a key?")
+
+
+class Kind(Strict, frozen=True):
+    """One kind of partner. A call by mail carries one message, so there are no bundles."""
+
+    name: Name
+    separate_routes: bool = False
+
+
+class Tenant(Strict, frozen=True):
+    """One tenant, and the messages a second that it may hand in over all forwarders together."""
+
+    name: Name
+    quota: Annotated[float, Meta(gt=0.0)]
+
+
+SOURCE = re.compile(r"recipient\.(local|domain|detail|base)|sender\.(local|domain)|header:[A-Za-z0-9-]{1,60}")
+
+
+class Routing(Strict, frozen=True):
+    """Where class, destination, tenant, order key and time left of a message are read.
+
+    Sources: ``recipient.local``, ``recipient.base`` and ``recipient.detail`` (before and after a plus),
+    ``recipient.domain``, ``sender.local``, ``sender.domain``, ``header:NAME``. An empty one: not read.
+    """
+
+    message_class: str = "recipient.local"
+    destination: str = "recipient.domain"
+    tenant: str = ""
+    key: str = ""
+    time_left_ms: str = ""
+    need_key: bool = False
+    need_tenant: bool = False
+
+    def __post_init__(self) -> None:
+        for name in ("message_class", "destination", "tenant", "key", "time_left_ms"):
+            source = getattr(self, name)
+            if source and not SOURCE.fullmatch(source):
+                raise ValueError(f"{name}: no such source as {source!r}")
+        for name in ("message_class", "destination"):
+            if not getattr(self, name).startswith("recipient."):
+                # what is read at end of data could not be refused at RCPT, for one recipient of several
+                raise ValueError(f"{name}: must be read from the recipient")
+
+
+class Listen(Strict, frozen=True):
+    """One front: SMTP or LMTP on a loopback address."""
+
+    protocol: Literal["smtp", "lmtp"]
+    port: Port
+    host: Loopback = "127.0.0.1"
+
+
+class Fronts(Strict, frozen=True):
+    """Bounds of the fronts' sessions: counts, octets and microseconds."""
+
+    connections: Positive = 500
+    message_size: Positive = 1 << 20
+    recipients: Positive = 100
+    errors: Positive = 10
+    command_timeout: Positive = 300_000_000  # RFC 5321 4.5.3.2.7
+    data_timeout: Positive = 180_000_000  # RFC 5321 4.5.3.2.5
+    hops: Positive = 50  # RFC 5321 6.3 asks for 100 at least where loops are counted so; see docs/mail.md
+
+
+class Pool(Strict, frozen=True):
+    """Bounds of the connections to partners: counts and microseconds."""
+
+    idle_per_endpoint: Positive = 8
+    connect_timeout: Positive = 1_000_000
+    idle: Positive = 10_000_000
+
+
+class Register(Strict, frozen=True):
+    """Where the register of partners listens, and where the last list is kept between starts."""
+
+    port: Port
+    host: Loopback = "127.0.0.1"
+    saved_list: str = ""
+    answer_timeout: Positive = 5_000_000
+
+
+class Rules(Strict, frozen=True):
+    """The figures of the rules: microseconds, shares and multiples."""
+
+    drain_grace: Micros = 250_000
+    ask_within: Micros = 10_000_000
+    answer_grace: Micros = 20_000
+    fall_multiple: Annotated[float, Meta(gt=0.0)] = 2.0
+    fall: Positive = 3_000_000
+    start_capacity: Share = 0.2
+    cold: Positive = 9_000_000
+    settle: Micros = 300_000
+
+
+class Forwarder(Strict, frozen=True):
+    """All that one forwarder process is told at its start."""
+
+    name: Name
+    classes: Annotated[tuple[MessageClass, ...], Meta(min_length=1)]
+    register: Register
+    listen: Annotated[tuple[Listen, ...], Meta(min_length=1)]
+    kinds: tuple[Kind, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    routing: Routing = Routing()
+    fronts: Fronts = Fronts()
+    pool: Pool = Pool()
+    rules: Rules = Rules()
+    slots: Positive = 16
+    max_open: Positive = 250
+    forwarders: Positive = 1
+    attempt_cap: Positive = 12
+    fade: Literal["line", "halves"] = "line"
+    weights: Literal["none", "nominal", "rough"] = "rough"
+    over_share_worth: Share = 0.2
+    max_wait: Micros = 3_000_000
+    stop_grace: Positive = 30_000_000
+    seed: Annotated[int, Meta(ge=0)] = 0
+
+    def __post_init__(self) -> None:
+        for field in ("classes", "kinds", "tenants"):
+            names = [item.name for item in getattr(self, field)]
+            for name in names:
+                if names.count(name) > 1:
+                    raise ValueError(f"{field}: {name!r} is given twice")
+        places = [(item.host, item.port) for item in self.listen if item.port]
+        if len(set(places)) < len(places):
+            raise ValueError("listen: one address is given twice")
+
+    def settings(self) -> hb.Settings:
+        """As the module takes them."""
+        return hb.Settings(
+            classes=tuple(
+                hb.MessageClass(
+                    c.name,
+                    c.aim,
+                    c.deadline,
+                    hb.Effect(c.effect),
+                    c.group,
+                    c.window,
+                    c.worth,
+                    c.late_share,
+                    c.keep_order,
+                )
+                for c in self.classes
+            ),
+            kinds=tuple(hb.Kind(k.name, 1, k.separate_routes) for k in self.kinds),
+            tenants=tuple(hb.Tenant(t.name, t.quota) for t in self.tenants),
+            slots=self.slots,
+            max_open=self.max_open,
+            senders=self.forwarders,
+            fade=hb.Fade(self.fade),
+            weights=hb.Weights(self.weights),
+            load_fields=("x0", "x1"),
+            over_share_worth=self.over_share_worth,
+            attempt_cap=self.attempt_cap,
+            retry_after=self.max_wait > 0,
+            max_retry_after_us=self.max_wait,
+            connect_timeout_us=self.pool.connect_timeout,
+            idle_us=self.pool.idle,
+            on_request=True,
+            ask_within_us=self.rules.ask_within,
+            drain_grace_us=self.rules.drain_grace,
+            answer_grace_us=self.rules.answer_grace,
+            fall_multiple=self.rules.fall_multiple,
+            fall_us=self.rules.fall,
+            start_capacity=self.rules.start_capacity,
+            cold_us=self.rules.cold,
+            settle_us=self.rules.settle,
+        )
--- /dev/null
+++ b/honeybarrow/config/script.py
@@ -0,0 +1,168 @@
+"""Reads a Starlark script into checked records. A wrong field is told with file, line and field.
+
+Each record has a word in the language, ``message_class(...)`` or ``forwarder(...)``; the call is checked
+where it stands, so the error names its line. Durations are texts like ``"250ms"`` or ``"4s"``.
+"""
+
+from __future__ import annotations
+
+import re
+import types
+import typing
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+import starlark
+
+from honeybarrow.config import schema
+
+Record = TypeVar("Record", bound=msgspec.Struct)
+UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000}
+DURATION = re.compile(r"(\d+(?:\.\d+)?)(us|ms|s|m)")
+SCRIPT_LIMIT = 1 << 20  # octets; a settings script is small, and one from a wrong file need not be read whole
+STEP_LIMIT = 200_000  # loops of a script end
+
+
+class ConfigError(Exception):
+    """A script that can't be read; the text is for the person who wrote it."""
+
+
+WORDS: dict[str, type[msgspec.Struct]] = {
+    "message_class": schema.MessageClass,
+    "kind": schema.Kind,
+    "tenant": schema.Tenant,
+    "routing": schema.Routing,
+    "listen": schema.Listen,
+    "fronts": schema.Fronts,
+    "pool": schema.Pool,
+    "register": schema.Register,
+    "rules": schema.Rules,
+    "forwarder": schema.Forwarder,
+}
+
+
+def duration_us(text: str) -> int:
+    """``"250ms"``, ``"1.5s"`` and the like in microseconds. Raises ``ValueError``."""
+    match = DURATION.fullmatch(text)
+    if not match:
+        raise ValueError(f"{text!r} is no duration: write it like '250ms' or '4s'")
+    return round(float(match.group(1)) * UNITS[match.group(2)])
+
+
+def read(path: Path, words: Mapping[str, type[msgspec.Struct]] = WORDS) -> dict[str, Any]:
+    """The records that the script's top level names, by name.
+
+    Raises :class:`ConfigError` with file, line and field.
+    """
+    try:
+        text = path.read_bytes()[: SCRIPT_LIMIT + 1].decode("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if len(text) > SCRIPT_LIMIT:
+        raise ConfigError(f"{path}: longer than {SCRIPT_LIMIT} octets")
+    return evaluate(str(path), text, words)
+
+
+def evaluate(name: str, text: str, words: Mapping[str, type[msgspec.Struct]] = WORDS) -> dict[str, Any]:
+    """As :func:`read`, for a text already read; ``name`` stands in its errors."""
+    made: list[msgspec.Struct] = []
+    module = starlark.Module()
+    for word, record in words.items():
+        module.add_callable(word, _maker(word, record, made))
+    try:
+        ast = starlark.parse(name, text + "\n")
+        named = sorted(set(re.findall(r"^([A-Za-z_]\w*)\s*=[^=]", text, re.MULTILINE)))
+        starlark.eval(module, ast, starlark.Globals.standard())
+        found = {each: _unwrap(module[each], made) for each in named}
+    except starlark.StarlarkError as error:
+        raise ConfigError(_told(name, str(error))) from None
+    except (KeyError, TypeError, ValueError) as error:
+        raise ConfigError(f"{name}: {error}") from None
+    return found
+
+
+def every(records: dict[str, Any], kind: type[Record]) -> list[Record]:
+    """The records of this type that the script names, alone or in a list, in the order of the names."""
+    found: list[Record] = []
+    for value in records.values():
+        for each in value if isinstance(value, list) else [value]:
+            if isinstance(each, kind) and each not in found:
+                found.append(each)
+    return found
+
+
+def one(records: dict[str, Any], kind: type[Record], path: Path, name: str = "") -> Record:
+    """The one record of this type, or the one of this name. Raises :class:`ConfigError`."""
+    found = every(records, kind)
+    word = kind.__name__.lower()
+    if name:
+        found = [record for record in found if getattr(record, "name", "") == name]
+        if not found:
+            raise ConfigError(f"{path}: there is no {word}({name!r})")
+    if len(found) != 1:
+        raise ConfigError(f"{path}: one {word}(...) given to a name is wanted, and there are {len(found)}")
+    return found[0]
+
+
+MARK = "record made by the script"
+
+
+def _maker(word: str, record: type[msgspec.Struct], made: list[msgspec.Struct]) -> Callable[..., Any]:
+    fields = typing.get_type_hints(record, include_extras=True)
+
+    def make(*args: Any, **given: Any) -> dict[str, Any]:
+        names = list(fields)
+        for i, value in enumerate(args):
+            if i >= len(names) or names[i] in given:
+                raise ValueError(f"{word}: value {i + 1} has no field, or its field is named too")
+            given[names[i]] = value
+        values = {}
+        for name, value in given.items():
+            if name not in fields:
+                raise ValueError(f"{word}: unknown field {name!r}; it has {', '.join(names)}")
+            try:
+                value = _unwrap(value, made)
+                if isinstance(value, str) and _is_whole(fields[name]):
+                    value = duration_us(value)
+            except ValueError as error:
+                raise ValueError(f"{word}: field {name!r}: {error}") from None
+            values[name] = value
+        try:
+            result = msgspec.convert(values, record, strict=True)
+        except msgspec.ValidationError as error:
+            text = re.sub(r" - at `\$\.?([^`]*)`", r" (field '\1')", str(error))
+            raise ValueError(f"{word}: {text}") from None
+        made.append(result)
+        return {MARK: len(made) - 1}
+
+    return make
+
+
+def _is_whole(hint: Any) -> bool:
+    """Whether a field's type is a whole number, through its annotations."""
+    while hasattr(hint, "__metadata__"):
+        hint = hint.__origin__
+    if isinstance(hint, types.UnionType):
+        return any(_is_whole(part) for part in typing.get_args(hint))
+    return hint is int
+
+
+def _unwrap(value: Any, made: list[msgspec.Struct]) -> Any:
+    """The records in the place of the marks that stand for them in the script."""
+    if isinstance(value, dict):
+        if set(value) == {MARK}:
+            return made[value[MARK]]
+        return {key: _unwrap(item, made) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [_unwrap(item, made) for item in value]
+    return value
+
+
+def _told(name: str, text: str) -> str:
+    """A message of one line: file, line, and what is wrong."""
+    place = re.search(r"-->\s*(\S+?):(\d+)(?::\d+)?", text)
+    what = re.search(r"error: (?:\w*Error: )?(.*)", text)
+    where = f"{name}:{place.group(2)}" if place else name
+    return f"{where}: {what.group(1) if what else ' '.join(text.split())}"
--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -86,6 +86,7 @@
     doubt_zone: str = ""
     retry_us: int = 0  # when the wait after the last failure ends
     over: bool = False
+    rejected: bool = False  # answered no for good: neither tried again nor worth handing in again
 
     @property
     def may_have_run(self) -> bool:
@@ -94,6 +95,8 @@
     @property
     def harmless(self) -> bool:
         """Whether a refusal may be said: it tells the client that trying again does no harm."""
+        if self.rejected:
+            return False
         if self.kind.effect is hb.Effect.SAFE or not self.may_have_run:
             return True
         return self.kind.effect is hb.Effect.KEYED and self.kind.group == "all"
@@ -437,7 +440,8 @@
             self.slots_used -= 1
             call.endpoint.calls.remove(call)
             call.endpoint.ended_us = self.now
-        if event.status in (hb.Status.ERROR, hb.Status.TIMEOUT, hb.Status.RESET, hb.Status.CANCELLED):
+        doubtful = event.status in (hb.Status.ERROR, hb.Status.TIMEOUT, hb.Status.RESET, hb.Status.CANCELLED)
+        if doubtful and not event.not_run:
             if call.sent_us < message.doubt_us:
                 message.doubt_us, message.doubt_zone = call.sent_us, call.endpoint.zone
             if message.key is not None and event.status is not hb.Status.ERROR:
@@ -450,8 +454,11 @@
             call.seen = True
             self._learn(call, event)
         self._close_idle(call.endpoint)
+        message.rejected |= event.status is hb.Status.REJECTED
         if event.over or message.over:
             self._over(message)
+        elif message.rejected:
+            self._answer(message)
         else:
             self._retry(message)
 
@@ -490,8 +497,8 @@
             lane.room = min(1.0, max(0.0, event.load[self.room_field]))
         fresh = call.sent_us >= endpoint.ok_us  # nothing sent later has been answered
         endpoint.errors += ERROR_WEIGHT * ((status is hb.Status.ERROR) - endpoint.errors)
-        if status is hb.Status.OK:
-            self._succeeded(call)
+        if status in (hb.Status.OK, hb.Status.REJECTED):  # a no for good is about the message: it answers
+            self._succeeded(call, status)
             return
         endpoint.stale |= status in (hb.Status.TIMEOUT, hb.Status.RESET) and call.idle
         endpoint.barred_us = self.now if status is hb.Status.CONNECT_FAILED else endpoint.barred_us
@@ -532,9 +539,10 @@
         if endpoint.streak >= STREAK_OUT or endpoint.errors > ERROR_SHARE_OUT:
             self._out(endpoint, status.value)
 
-    def _succeeded(self, call: Call) -> None:
+    def _succeeded(self, call: Call, status: hb.Status) -> None:
         endpoint, lane = call.endpoint, call.endpoint.lane
-        took = self.now - call.sent_us
+        # Danger: a rejection comes sooner than any delivery and would make deliveries look late.
+        took = self.now - call.sent_us if status is hb.Status.OK else endpoint.usual_us
         endpoint.ok_us = max(endpoint.ok_us, call.sent_us)
         endpoint.usual_us += 0.15 * (took - endpoint.usual_us)
         endpoint.streak = 0
--- /dev/null
+++ b/honeybarrow/forward/__init__.py
@@ -0,0 +1,34 @@
+"""The core: messages held, calls and their ends, the pool. Fronts enter by :meth:`Forwarder.submit`."""
+
+from honeybarrow.forward.core import (
+    Answer,
+    Counts,
+    Delivered,
+    Failed,
+    Forwarder,
+    Refused,
+    Submission,
+    ignore_cancelled,
+)
+from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
+from honeybarrow.forward.pool import Parcel, Place, Pool, PoolLimits
+
+__all__ = [
+    "Answer",
+    "Counts",
+    "Delivered",
+    "Failed",
+    "Forwarder",
+    "Outcome",
+    "Parcel",
+    "Place",
+    "Pool",
+    "PoolLimits",
+    "Refused",
+    "Submission",
+    "ignore_cancelled",
+    "of_greeting",
+    "of_loss",
+    "of_reply",
+    "of_timeout",
+]
--- /dev/null
+++ b/honeybarrow/forward/core.py
@@ -0,0 +1,362 @@
+"""The forwarder: drives one :class:`honeybarrow.decide.Sender` and carries out what it decides.
+
+Events of one reactor turn go to the module together; its actions are carried out in order. The
+forwarder owns the messages held, the slots and the pool, and decides nothing of what the module
+decides. Reactor, clock, monotone time and randomness are handed in.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from honeybarrow import intake
+from honeybarrow import interface as hb
+from honeybarrow.decide import Sender
+from honeybarrow.forward.outcome import Outcome
+from honeybarrow.forward.pool import Parcel, Place, Pool
+from honeybarrow.mail import Reply
+from honeybarrow.seams import Clock, Logger
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """Final answer: a partner has taken the message."""
+
+    reply: Reply | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Final answer: nothing ran that must not run again; come back after the wait, if any is told."""
+
+    wait_us: int = 0
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Final answer: given up, with no promise about the effect. ``reply``: a partner's refusal for good."""
+
+    why: str = ""
+    reply: Reply | None = None
+
+
+Answer = Delivered | Refused | Failed
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A message as a front hands it in; ``left_us`` is the time until its answer is due."""
+
+    message: str
+    class_name: str
+    destination: int
+    left_us: int
+    parcel: Parcel
+    tenant: str = ""
+    key: int | None = None
+    repeat: bool = False
+
+
+@dataclass(slots=True)
+class _Held:
+    """A message from its arrival until it is answered and nothing of it is out."""
+
+    submission: Submission
+    done: Deferred[Answer]
+    at_us: int
+    attempts: int = 0
+    out: int = 0
+    over: bool = False
+    last: Outcome | None = None
+
+
+@dataclass(slots=True)
+class Counts:
+    """What has happened since the start."""
+
+    taken: int = 0
+    turned_away: int = 0
+    delivered: int = 0
+    refused: int = 0
+    failed: int = 0
+    withdrawn: int = 0
+    attempts: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+
+
+class Forwarder:
+    """The core of one process. ``places`` tells where a target listens, ``subscribe`` asks the register."""
+
+    def __init__(
+        self,
+        settings: hb.Settings,
+        seed: int,
+        clock: Clock,
+        now_us: Callable[[], int],
+        pool: Pool,
+        places: Callable[[str], Place | None],
+        subscribe: Callable[[], None],
+        log: Logger,
+        crashed: Callable[[Exception], None],
+    ) -> None:
+        self.settings, self.clock, self.pool, self.log = settings, clock, pool, log
+        self.places, self.subscribe, self.crashed = places, subscribe, crashed
+        self.sender = Sender(settings, seed)
+        self.rng = random.Random(seed)
+        self._now_us = now_us
+        self._last_us = 0
+        self._events: list[hb.Event] = []
+        self._turning = False
+        self._held: dict[str, _Held] = {}
+        self._open = 0
+        self._calls = 0
+        self._away = 0  # turned away in a row
+        self._over: list[str] = []  # to be forgotten at the end of the next turn
+        self._idle: list[Deferred[None]] = []
+        self.counts = Counts()
+
+    # in
+
+    def submit(self, submission: Submission) -> Deferred[Answer]:
+        """Take a message; its one final answer. Cancelling it withdraws the message.
+
+        Raises ``ValueError`` for an id that is held already and for an unknown class.
+        """
+        if submission.message in self._held:
+            raise ValueError(f"message {submission.message!r} is held already")
+        if submission.class_name not in self.sender.classes:
+            raise ValueError(f"unknown class {submission.class_name!r}")
+        done: Deferred[Answer] = Deferred(lambda _: self._withdraw(submission.message))
+        if self._open >= self.settings.max_open:
+            self._away += 1
+            self.counts.turned_away += 1
+            wait = intake.turn_away_us(self._away, self.settings.max_retry_after_us, self.rng)
+            self.log.info("turned away", message=submission.message, held=self._open, wait_us=wait)
+            done.callback(Refused(wait, "no room"))
+            return done
+        self._away = 0
+        self._held[submission.message] = _Held(submission, done, self._now_us())
+        self._open += 1
+        self.counts.taken += 1
+        self.log.debug(
+            "taken",
+            message=submission.message,
+            message_class=submission.class_name,
+            destination=submission.destination,
+            left_us=submission.left_us,
+        )
+        self._happened(
+            hb.MessageArrived(
+                submission.message,
+                submission.class_name,
+                submission.destination,
+                submission.left_us,
+                submission.tenant,
+                submission.key,
+                submission.repeat,
+            )
+        )
+        return done
+
+    def news(self, news: hb.MembershipNews) -> None:
+        """News of the list of endpoints."""
+        self._happened(news)
+
+    @property
+    def open(self) -> int:
+        """Messages that are owed an answer."""
+        return self._open
+
+    def drained(self) -> Deferred[None]:
+        """Fires when no message is owed an answer."""
+        done: Deferred[None] = Deferred()
+        if self._open == 0:
+            done.callback(None)
+        else:
+            self._idle.append(done)
+        return done
+
+    # turns
+
+    def _happened(self, event: hb.Event) -> None:
+        self._events.append(event)
+        if not self._turning:
+            self._turning = True
+            self.clock.callLater(0, self._turn)
+
+    def _turn(self) -> None:
+        self._turning = False
+        events, self._events = self._events, []
+        # Danger: a clock that steps back would end the process by the module's own check.
+        self._last_us = max(self._last_us, self._now_us())
+        try:
+            actions = self.sender.handle(self._last_us, events)
+        except Exception as error:
+            self.log.error("the decision module failed", error=f"{type(error).__name__}: {error}")
+            self.abandon("internal fault")
+            self.crashed(error)
+            return
+        for action in actions:
+            self._carry_out(action)
+        # Only now: an answer given above may withdraw a message that a later action of this turn names.
+        over, self._over = self._over, []
+        for message in over:
+            if self._held[message].out == 0:
+                del self._held[message]
+
+    def _carry_out(self, action: hb.Action) -> None:
+        match action:
+            case hb.Send():
+                self._send(action)
+            case hb.HandBack(message, pause_us):
+                held = self._held[message]
+                why = held.last.why or held.last.status.value if held.last else "not tried"
+                self._answer(held, Refused(pause_us, why))
+            case hb.GiveUp(message):
+                held = self._held[message]
+                last = held.last
+                reply = last.reply if last and last.status is hb.Status.REJECTED else None
+                why = last.why or last.status.value if last else "not tried"
+                self._answer(held, Failed(why, reply))
+            case hb.SetTimer(mark, delay_us):
+                self.clock.callLater(delay_us / 1e6, self._happened, hb.TimerFired(mark))
+            case hb.Subscribe(enable):
+                if enable:
+                    self.subscribe()
+            case hb.CloseIdle(target):
+                self.pool.close_idle(target)
+            case hb.Log(text):
+                self.log.info("module", text=text)
+
+    # attempts
+
+    def _send(self, action: hb.Send) -> None:
+        held = self._held[action.message]
+        number, held.attempts = held.attempts, held.attempts + 1
+        held.out += 1
+        place = self.places(action.target)
+        slots_full = self._calls >= self.settings.slots
+        if place is None or held.over or slots_full:
+            self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
+            outcome = Outcome(hb.Status.NOT_SENT, True, why="no slot" if slots_full else "no address")
+            self._ended(held, number, action.target, self._now_us(), slots_full, outcome)
+            return
+        self._calls += 1
+        self.counts.attempts += 1
+        self.log.debug(
+            "attempt",
+            message=action.message,
+            attempt=number,
+            target=action.target,
+            timeout_us=action.timeout_us,
+        )
+        began = self._now_us()
+        call = self.pool.call(action.target, place, held.submission.parcel, action.timeout_us)
+        call.addCallback(self._called, held, number, action.target, began)
+        call.addErrback(self._bug, held, number, action.target, began)
+
+    def _called(self, outcome: Outcome, held: _Held, number: int, target: str, began: int) -> None:
+        self._calls -= 1
+        self._ended(held, number, target, began, False, outcome)
+
+    def _bug(self, failure: Failure, held: _Held, number: int, target: str, began: int) -> None:
+        self.log.error("a call failed by a fault of ours", error=failure.getErrorMessage())
+        self._ended(held, number, target, began, False, Outcome(hb.Status.RESET, why="fault"))
+
+    def _ended(
+        self, held: _Held, number: int, target: str, began: int, slots_full: bool, outcome: Outcome
+    ) -> None:
+        message = held.submission.message
+        held.out -= 1
+        held.last = outcome
+        name = outcome.status.value
+        self.counts.outcomes[name] = self.counts.outcomes.get(name, 0) + 1
+        self.log.debug(
+            "attempt ended",
+            message=message,
+            attempt=number,
+            target=target,
+            status=name,
+            not_run=outcome.not_run,
+            wait_us=outcome.wait_us,
+            code=outcome.reply.code if outcome.reply else None,
+            why=outcome.why,
+        )
+        over = held.over or outcome.status is hb.Status.OK
+        event = hb.AttemptEnded(
+            message,
+            number,
+            target,
+            outcome.status,
+            max(0, self._now_us() - began),
+            over,
+            outcome.wait_us,
+            slots_full,
+            outcome.load,
+            outcome.not_run,
+        )
+        self._happened(event)
+        if outcome.status is hb.Status.OK and not held.over:
+            self._answer(held, Delivered(outcome.reply))
+        elif held.over:
+            self._forget(held)
+
+    # answers
+
+    def _answer(self, held: _Held, answer: Answer) -> None:
+        """The only place that gives a final answer."""
+        if held.over:
+            return
+        held.over = True
+        self._open -= 1
+        name = type(answer).__name__.lower()
+        setattr(self.counts, name, getattr(self.counts, name) + 1)
+        self.log.info(
+            name,
+            message=held.submission.message,
+            attempts=held.attempts,
+            took_us=self._now_us() - held.at_us,
+            **({"why": answer.why} if not isinstance(answer, Delivered) else {}),
+        )
+        self._forget(held)
+        held.done.callback(answer)
+        self._check_idle()
+
+    def _withdraw(self, message: str) -> None:
+        """The client is gone: no new attempt; those that are out run on (``docs/mail.md``)."""
+        held = self._held.get(message)
+        if held is None or held.over:
+            return
+        held.over = True
+        self._open -= 1
+        self.counts.withdrawn += 1
+        self.log.info("withdrawn", message=message, attempts=held.attempts, out=held.out)
+        self._forget(held)
+        self._happened(hb.MessageExpired(message))
+        self._check_idle()
+
+    def _forget(self, held: _Held) -> None:
+        if held.over and held.out == 0:
+            self._over.append(held.submission.message)
+
+    def _check_idle(self) -> None:
+        if self._open == 0:
+            waiting, self._idle = self._idle, []
+            for done in waiting:
+                done.callback(None)
+
+    def abandon(self, why: str) -> None:
+        """Answer every message that is held as failed: nothing can be promised any more."""
+        for held in list(self._held.values()):
+            self._answer(held, Failed(why))
+
+
+def ignore_cancelled(failure: Failure) -> None:
+    """For the Deferred of a message that was withdrawn on purpose."""
+    failure.trap(CancelledError)  # type: ignore[no-untyped-call]
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -112,6 +112,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
+    REJECTED = "rejected"  # answered, and for good: no other try of this message can be taken
 
 
 class EndpointState(enum.Enum):
@@ -158,7 +159,12 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
-    """An attempt has its outcome; ``over`` tells that the message is answered."""
+    """An attempt has its outcome; ``over`` tells that the message is answered.
+
+    ``not_run`` tells that the caller can prove that the attempt had no effect, whatever its status:
+    an error answered, or a connection lost, before the end of the message was written. The statuses
+    full, connect failed, not sent and rejected prove it by themselves.
+    """
 
     message: str
     attempt: int
@@ -169,6 +175,7 @@
     wait_us: int = 0
     slots_full: bool = False
     load: tuple[float, ...] = ()
+    not_run: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/honeybarrow/mail/grammar.py
@@ -0,0 +1,287 @@
+"""Lines, commands, paths and replies of SMTP and LMTP as values; bytes in, values out.
+
+Sources: RFC 5321 (commands 4.1.1, replies 4.2, limits 4.5.3), RFC 2033 (LMTP), RFC 2034 and 3463
+(enhanced codes), RFC 1870 (SIZE), RFC 6152 (8BITMIME), RFC 2852 (DELIVERBY).
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+CRLF = b"\r\n"
+
+
+class GrammarError(ValueError):
+    """Input that the grammar does not allow; ``reply`` is what a server says to it."""
+
+    def __init__(self, reply: Reply) -> None:
+        super().__init__(reply.text)
+        self.reply = reply
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A reply: code (RFC 5321 4.2), enhanced code (RFC 3463; empty: none) and text.
+
+    ``wait_ms`` and ``load`` are what the XADVICE extension carries (``docs/mail.md``): how long to
+    stay away in milliseconds, and the share of the limit that is left with the limit itself in calls
+    a second. ``lines`` are the further lines of a multi-line reply.
+    """
+
+    code: int
+    enhanced: str = ""
+    text: str = ""
+    wait_ms: int = 0
+    load: tuple[float, ...] = ()
+    lines: tuple[str, ...] = field(default=())
+
+    @property
+    def positive(self) -> bool:
+        return 200 <= self.code < 400
+
+    @property
+    def for_good(self) -> bool:
+        """A refusal that no other try changes: addressing (X.1.x) and security or policy (X.7.x)."""
+        return self.code >= 500 and self.enhanced.startswith(("5.1.", "5.7."))
+
+    @property
+    def is_full(self) -> bool:
+        """A refusal for want of room or rate, by the enhanced code, or by the code where there is none."""
+        if not 400 <= self.code < 500:
+            return False
+        if self.wait_ms > 0 or self.enhanced in FULL_ENHANCED:
+            return True
+        return not self.enhanced and self.code in FULL_CODES
+
+    def encode(self, advice: bool = False) -> bytes:
+        """The reply as bytes; with ``advice`` the XADVICE part is written."""
+        words = [self.enhanced] if self.enhanced else []
+        if advice and (self.wait_ms > 0 or self.load):
+            parts = [f"wait={self.wait_ms}"] if self.wait_ms > 0 else []
+            if self.load:
+                parts.append("load=" + ",".join(f"{value:g}" for value in self.load))
+            words.append("[" + " ".join(parts) + "]")
+        head = " ".join([*words, clean(self.text)]).rstrip()
+        rows = [head, *(clean(line) for line in self.lines)]
+        last = len(rows) - 1
+        return b"".join(
+            f"{self.code}{'-' if i < last else ' '}{row}".encode("ascii", "replace") + CRLF
+            for i, row in enumerate(rows)
+        )
+
+
+# X.3.1 system full, X.3.2 not accepting, X.4.5 congestion (RFC 3463 3.4 and 3.5), 4.5.3 too many recipients
+FULL_ENHANCED = frozenset({"4.3.1", "4.3.2", "4.4.5", "4.5.3"})
+FULL_CODES = frozenset({421, 450, 452})
+REPLY_TEXT_LIMIT = 400  # a reply line is 512 octets at most (RFC 5321 4.5.3.1.5); kept well under it
+ENHANCED = re.compile(r"([245])\.(\d{1,3})\.(\d{1,3})(?:\s+|$)")
+ADVICE = re.compile(
+    r"\[((?:wait=\d{1,9}|load=[0-9.,eE+-]{1,60})(?: (?:wait=\d{1,9}|load=[0-9.,eE+-]{1,60}))?)\]\s*"
+)
+
+
+def clean(text: str) -> str:
+    """Printable ASCII only, bounded: what a partner wrote must not become a line of ours."""
+    return "".join(c if " " <= c <= "~" else "?" for c in text[:REPLY_TEXT_LIMIT])
+
+
+def read_advice(text: str) -> tuple[str, int, tuple[float, ...]]:
+    """Take the XADVICE part off a reply's text: the rest, the wait in milliseconds, the load."""
+    match = ADVICE.match(text)
+    if not match:
+        return text, 0, ()
+    wait = 0
+    load: tuple[float, ...] = ()
+    for part in match.group(1).split(" "):
+        name, _, value = part.partition("=")
+        if name == "wait":
+            wait = int(value)
+        else:
+            try:
+                load = tuple(float(item) for item in value.split(","))
+            except ValueError:
+                return text, 0, ()
+    if any(item != item or abs(item) > 1e9 for item in load):
+        return text, 0, ()
+    return text[match.end() :], wait, load
+
+
+class ReplyReader:
+    """Puts the lines of a server together to replies (RFC 5321 4.2.1).
+
+    Raises :class:`BadReply` on a line without a code, codes that differ within a reply, a reply of
+    too many lines, and bytes that are no text.
+    """
+
+    MAX_LINES = 100
+
+    def __init__(self) -> None:
+        self._rows: list[str] = []
+        self._code = 0
+
+    def feed(self, line: bytes) -> Reply | None:
+        """Take one line without its end; the reply if it is whole now."""
+        if len(line) < 3 or not line[:3].isdigit() or not 200 <= int(line[:3]) <= 599:
+            raise BadReply(f"no reply code in {clean(line[:60].decode('latin-1'))!r}")
+        if len(line) > 3 and line[3:4] not in b" -":
+            raise BadReply(
+                f"neither space nor hyphen after the code in {clean(line[:60].decode('latin-1'))!r}"
+            )
+        if b"\r" in line or b"\n" in line or b"\0" in line:
+            raise BadReply("bare CR, LF or NUL in a reply")
+        code = int(line[:3])
+        if self._rows and code != self._code:
+            raise BadReply(f"codes {self._code} and {code} in one reply")
+        self._code = code
+        self._rows.append(line[4:].decode("latin-1"))
+        if line[3:4] == b"-":
+            if len(self._rows) > self.MAX_LINES:
+                raise BadReply("a reply of too many lines")
+            return None
+        rows, self._rows = self._rows, []
+        first, enhanced = rows[0], ""
+        match = ENHANCED.match(first)
+        # the class of an enhanced code must agree with its code (RFC 2034 4), else it is text
+        if match and match.group(1) == str(code)[0]:
+            enhanced, first = match.group(0).strip(), first[match.end() :]
+        text, wait, load = read_advice(first)
+        return Reply(code, enhanced, text, wait, load, tuple(rows[1:]))
+
+
+class BadReply(ValueError):
+    """A server's reply breaks the grammar; nothing can be concluded from it."""
+
+
+# --- commands ---------------------------------------------------------------------------------------
+
+SYNTAX = Reply(501, "5.5.4", "syntax error in parameters")
+UNKNOWN = Reply(500, "5.5.1", "command not recognized")
+BARE = Reply(500, "5.5.2", "bare CR, LF or NUL in a command")
+LONG_LINE = Reply(500, "5.5.2", "line too long")
+BAD_PATH = Reply(501, "5.1.7", "bad address syntax")
+BAD_RECIPIENT = Reply(501, "5.1.3", "bad address syntax")
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command line: the verb in upper case and what follows it."""
+
+    verb: str
+    rest: str = ""
+
+
+def read_command(line: bytes) -> Command:
+    """A line without its CRLF as a command (RFC 5321 4.1.1). Raises :class:`GrammarError`."""
+    if b"\r" in line or b"\n" in line or b"\0" in line:
+        raise GrammarError(BARE)
+    try:
+        text = line.decode("ascii")
+    except UnicodeDecodeError:
+        raise GrammarError(Reply(500, "5.5.2", "a command must be ASCII")) from None
+    verb, _, rest = text.rstrip(" \t").partition(" ")
+    if not verb.isalpha():
+        raise GrammarError(UNKNOWN)
+    return Command(verb.upper(), rest.strip(" "))
+
+
+@dataclass(frozen=True, slots=True)
+class Path:
+    """A mailbox (RFC 5321 4.1.2); both parts empty for the null reverse-path."""
+
+    local: str
+    domain: str
+
+    def __str__(self) -> str:
+        return f"{self.local}@{self.domain}" if self.local or self.domain else ""
+
+
+ATEXT = r"[A-Za-z0-9!#$%&'*+/=?^_`{|}~-]+"
+LABEL = r"[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?"
+MAILBOX = re.compile(
+    rf'((?:{ATEXT}(?:\.{ATEXT})*)|"(?:[ !#-\[\]-~]|\\[ -~])*")'
+    rf"@((?:{LABEL}(?:\.{LABEL})*)|\[[A-Za-z0-9:.]{{1,60}}\])"
+)
+ROUTE = re.compile(rf"(?:@{LABEL}(?:\.{LABEL})*)(?:,@{LABEL}(?:\.{LABEL})*)*:")
+LOCAL_LIMIT, DOMAIN_LIMIT, PATH_LIMIT = 64, 255, 256  # RFC 5321 4.5.3.1
+
+
+def read_path(text: str, keyword: str, bad: Reply) -> tuple[Path, str]:
+    """``FROM:<path>`` or ``TO:<path>``: the path and the rest. A source route is dropped (appendix C)."""
+    if text[: len(keyword)].upper() != keyword:
+        raise GrammarError(SYNTAX)
+    body = text[len(keyword) :].lstrip(" ")
+    if not body.startswith("<"):
+        raise GrammarError(bad)
+    end, quoted, i = -1, False, 1
+    while i < len(body):
+        if body[i] == "\\" and quoted:
+            i += 1
+        elif body[i] == '"':
+            quoted = not quoted
+        elif body[i] == ">" and not quoted:
+            end = i
+            break
+        i += 1
+    if end < 0:
+        raise GrammarError(bad)
+    inner, rest = body[1:end], body[end + 1 :]
+    if rest and not rest.startswith(" "):
+        raise GrammarError(SYNTAX)
+    if not inner:
+        return Path("", ""), rest.strip()
+    route = ROUTE.match(inner)
+    inner = inner[route.end() :] if route else inner
+    match = MAILBOX.fullmatch(inner)
+    if not match:
+        raise GrammarError(bad)
+    local, domain = match.group(1), match.group(2).lower()
+    if len(local) > LOCAL_LIMIT or len(domain) > DOMAIN_LIMIT or len(inner) + 2 > PATH_LIMIT:
+        raise GrammarError(bad)
+    return Path(local, domain), rest.strip()
+
+
+@dataclass(frozen=True, slots=True)
+class MailParameters:
+    """The parameters of MAIL: SIZE in octets, BODY, BY in seconds with its mode."""
+
+    size: int = 0
+    eight_bit: bool = False
+    by_s: int | None = None
+    by_return: bool = False
+
+
+BY = re.compile(r"(-?\d{1,9});([RN])T?", re.IGNORECASE)
+
+
+def read_mail_parameters(text: str) -> MailParameters:
+    """``SIZE=``, ``BODY=`` and ``BY=`` of a MAIL command. Raises :class:`GrammarError`."""
+    size, eight, by_s, by_return = 0, False, None, False
+    seen: set[str] = set()
+    for word in text.split():
+        name, _, value = word.partition("=")
+        name = name.upper()
+        if name in seen:
+            raise GrammarError(SYNTAX)
+        seen.add(name)
+        if name == "SIZE" and value.isdigit() and len(value) <= 20:
+            size = int(value)
+        elif name == "BODY" and value.upper() in ("7BIT", "8BITMIME"):
+            eight = value.upper() == "8BITMIME"
+        elif name == "BY" and (match := BY.fullmatch(value)):
+            by_s, by_return = int(match.group(1)), match.group(2).upper() == "R"
+            if by_return and by_s <= 0:  # RFC 2852 4: a returned message needs time to be delivered in
+                raise GrammarError(SYNTAX)
+        elif name in ("SIZE", "BODY", "BY"):
+            raise GrammarError(SYNTAX)
+        else:
+            raise GrammarError(Reply(555, "5.5.4", "parameter not implemented"))
+    return MailParameters(size, eight, by_s, by_return)
+
+
+def quote_dots(content: bytes) -> bytes:
+    """Dot-stuffing (RFC 5321 4.5.2) and the end of data. The content has CRLF line ends."""
+    if content and not content.endswith(CRLF):
+        content += CRLF
+    stuffed = content.replace(b"\r\n.", b"\r\n..")
+    return (b"." if stuffed.startswith(b".") else b"") + stuffed + b".\r\n"
--- /dev/null
+++ b/honeybarrow/mail/server.py
@@ -0,0 +1,404 @@
+"""The server's side of an SMTP or LMTP session: bytes in, events out, answers in, bytes out.
+
+The session does no I/O. Feed bytes with :meth:`ServerSession.receive`, take events with
+:meth:`ServerSession.next_event` until it says ``None``, answer those that ask for it with
+:meth:`ServerSession.answer`, and write what :meth:`ServerSession.take_output` gives.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from honeybarrow.mail import grammar
+from honeybarrow.mail.grammar import CRLF, GrammarError, MailParameters, Path, Reply
+
+
+class State(enum.Enum):
+    """Where a session stands."""
+
+    FRESH = "fresh"  # no HELO yet
+    READY = "ready"  # greeted, no transaction
+    MAIL = "mail"  # a sender, no recipient yet
+    RCPT = "rcpt"  # at least one recipient taken
+    DATA = "data"  # the message's content is on its way
+    ASKED = "asked"  # an event waits for its answer; nothing is read on
+    CLOSED = "closed"
+
+
+# Which commands a state takes (RFC 5321 4.1.4). What isn't here is out of order: 503 5.5.1.
+# NOOP, RSET, QUIT, HELP and VRFY are taken in each state but DATA, ASKED and CLOSED.
+ANYWHERE = frozenset({"NOOP", "RSET", "QUIT", "HELP", "VRFY"})
+ALLOWED: dict[State, frozenset[str]] = {
+    State.FRESH: ANYWHERE | {"HELO", "EHLO", "LHLO"},
+    State.READY: ANYWHERE | {"HELO", "EHLO", "LHLO", "MAIL"},
+    State.MAIL: ANYWHERE | {"HELO", "EHLO", "LHLO", "RCPT"},
+    State.RCPT: ANYWHERE | {"HELO", "EHLO", "LHLO", "RCPT", "DATA"},
+}
+VERBS = frozenset().union(*ALLOWED.values())
+LAST_IN_GROUP = frozenset({"EHLO", "HELO", "LHLO", "DATA"})  # nothing may be sent on unasked (RFC 2920 3.1)
+
+OUT_OF_ORDER = Reply(503, "5.5.1", "command out of order")
+EARLY = Reply(503, "5.5.0", "sent before the reply it had to wait for")
+TOO_MANY_ERRORS = Reply(421, "4.7.0", "too many errors, closing")
+TOO_LARGE = Reply(552, "5.3.4", "message exceeds the size that is taken")
+TOO_MANY_RECIPIENTS = Reply(452, "4.5.3", "too many recipients")
+BAD_CONTENT = Reply(554, "5.6.0", "bare CR, LF or NUL in the message")
+LONG_TEXT = Reply(554, "5.6.0", "a line of the message is too long")
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of a session; octets, counts. RFC 5321 4.5.3.1 gives the least that must be taken."""
+
+    command_line: int = 1000  # 512 of the base, and room for the parameters of extensions
+    text_line: int = 1000
+    message: int = 1 << 20
+    recipients: int = 100
+    errors: int = 10
+    buffered: int = 1 << 18  # read but not yet parsed; a transport is paused long before
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The client said who it is. Nothing to answer."""
+
+    name: str
+    extended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """MAIL; waits for an answer."""
+
+    path: Path
+    parameters: MailParameters
+
+
+@dataclass(frozen=True, slots=True)
+class Recipient:
+    """RCPT; waits for an answer."""
+
+    path: Path
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """The whole message; waits for its answers: one, or with LMTP one for each recipient."""
+
+    sender: Path
+    parameters: MailParameters
+    recipients: tuple[Path, ...]
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Complaint:
+    """Bad input was answered by itself. For the log; nothing to answer."""
+
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """The session is over; close the connection once the output is written."""
+
+
+Event = Hello | Sender | Recipient | Message | Complaint | Closed
+
+
+@dataclass(slots=True)
+class _Transaction:
+    sender: Path
+    parameters: MailParameters
+    recipients: list[Path] = field(default_factory=list)
+
+
+class ServerSession:
+    """One session. ``lmtp`` chooses RFC 2033; ``name`` is the server's own domain."""
+
+    def __init__(self, name: str, lmtp: bool = False, limits: Limits | None = None) -> None:
+        self.name, self.lmtp, self.limits = name, lmtp, limits or Limits()
+        self.state = State.FRESH
+        self.peer_name = ""
+        self.extended = False
+        self._in = bytearray()
+        self._out = bytearray()
+        self._skipping = False  # the rest of an over-long command line
+        self._errors = 0
+        self._transaction: _Transaction | None = None
+        self._asked: Sender | Recipient | Message | None = None
+        self._due = 0  # replies that the event still needs
+        self._content = bytearray()
+        self._spoilt: Reply | None = None  # why the message can't be taken; its bytes are dropped
+        self._ended = False
+
+    # in
+
+    def greet(self) -> None:
+        """Write the greeting."""
+        kind = "LMTP" if self.lmtp else "ESMTP"
+        self._out += Reply(220, "", f"{self.name} {kind} ready").encode()
+
+    def refuse(self, reply: Reply) -> None:
+        """Say a last word, in place of the greeting or between commands, and close."""
+        self._say(reply)
+        self.state = State.CLOSED
+
+    def receive(self, data: bytes) -> None:
+        """Take bytes from the peer; over the bound of what may wait, the session closes."""
+        if self.state is State.CLOSED:
+            return
+        self._in += data
+        if len(self._in) > self.limits.buffered:
+            self._in.clear()
+            self.refuse(TOO_MANY_ERRORS)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether an event waits for its answer; reading may pause meanwhile."""
+        return self.state is State.ASKED
+
+    @property
+    def backlog(self) -> int:
+        """Octets read and not yet parsed."""
+        return len(self._in)
+
+    @property
+    def in_transaction(self) -> bool:
+        return self._transaction is not None
+
+    def take_output(self) -> bytes:
+        out, self._out = bytes(self._out), bytearray()
+        return out
+
+    # out
+
+    def next_event(self) -> Event | None:
+        """The next event, or ``None`` when more bytes or an answer are needed."""
+        while self.state is not State.ASKED:
+            if self.state is State.CLOSED:
+                if self._ended:
+                    return None
+                self._ended = True
+                return Closed()
+            event = self._content_event() if self.state is State.DATA else self._command_event()
+            if event is None:
+                return None
+            if not isinstance(event, _Nothing):
+                return event
+        return None
+
+    def _command_event(self) -> Event | _Nothing | None:
+        at = self._in.find(CRLF)
+        if self._skipping:
+            if at < 0:
+                del self._in[:-1]
+                return None
+            del self._in[: at + 2]
+            self._skipping = False
+            return self._complain(grammar.LONG_LINE)
+        if at > self.limits.command_line or (at < 0 and len(self._in) > self.limits.command_line):
+            self._skipping = True
+            return NOTHING
+        if at < 0:
+            return None
+        line = bytes(self._in[:at])
+        del self._in[: at + 2]
+        try:
+            command = grammar.read_command(line)
+            if command.verb not in VERBS:
+                raise GrammarError(grammar.UNKNOWN)
+            if command.verb not in ALLOWED[self.state]:
+                raise GrammarError(OUT_OF_ORDER)
+            if command.verb in LAST_IN_GROUP and self._in:
+                # Danger: bytes behind DATA or EHLO were written without knowing the answer; taken as
+                # commands or content they mean what nobody meant (RFC 2920 3.1; command injection).
+                self._say(EARLY)
+                self.state = State.CLOSED
+                return Complaint(EARLY)
+            return self._do(command)
+        except GrammarError as error:
+            return self._complain(error.reply)
+
+    def _do(self, command: grammar.Command) -> Event | _Nothing | None:
+        verb, rest = command.verb, command.rest
+        if verb in ("HELO", "EHLO", "LHLO"):
+            return self._hello(verb, rest)
+        if verb == "MAIL":
+            path, more = grammar.read_path(rest, "FROM:", grammar.BAD_PATH)
+            parameters = grammar.read_mail_parameters(more)
+            if more and not self.extended:
+                raise GrammarError(Reply(555, "5.5.4", "parameters need EHLO"))
+            if parameters.size > self.limits.message:
+                raise GrammarError(TOO_LARGE)
+            return self._ask(Sender(path, parameters))
+        if verb == "RCPT":
+            path, more = grammar.read_path(rest, "TO:", grammar.BAD_RECIPIENT)
+            if more:
+                raise GrammarError(Reply(555, "5.5.4", "parameter not implemented"))
+            if not path.domain:
+                raise GrammarError(grammar.BAD_RECIPIENT)
+            assert self._transaction is not None
+            if len(self._transaction.recipients) >= self.limits.recipients:
+                self._say(TOO_MANY_RECIPIENTS)
+                return Complaint(TOO_MANY_RECIPIENTS)
+            return self._ask(Recipient(path))
+        if verb == "DATA":
+            if rest:
+                raise GrammarError(grammar.SYNTAX)
+            self._say(Reply(354, "", "go ahead, end with a dot alone"))
+            self.state, self._spoilt = State.DATA, None
+            self._content = bytearray()
+            return NOTHING
+        if verb == "RSET":
+            self._reset()
+            self._say(Reply(250, "2.0.0", "ok"))
+        elif verb == "QUIT":
+            self._say(Reply(221, "2.0.0", f"{self.name} closing"))
+            self.state = State.CLOSED
+        elif verb == "VRFY":
+            self._say(Reply(252, "2.5.2", "cannot verify; send and see"))
+        else:
+            self._say(
+                Reply(214 if verb == "HELP" else 250, "2.0.0", "see RFC 5321" if verb == "HELP" else "ok")
+            )
+        return NOTHING
+
+    def _hello(self, verb: str, name: str) -> Event:
+        if (verb == "LHLO") != self.lmtp:
+            raise GrammarError(Reply(500, "5.5.1", "LHLO here" if self.lmtp else "this is not LMTP"))
+        if not name or " " in name:
+            raise GrammarError(grammar.SYNTAX)
+        self._reset()
+        self.peer_name, self.extended = grammar.clean(name), verb != "HELO"
+        self.state = State.READY
+        if not self.extended:
+            self._say(Reply(250, "", self.name))
+        else:
+            size = f"SIZE {self.limits.message}"
+            extensions = ("PIPELINING", size, "8BITMIME", "ENHANCEDSTATUSCODES", "DELIVERBY", "XADVICE")
+            self._say(Reply(250, "", self.name, lines=extensions))
+        return Hello(self.peer_name, self.extended)
+
+    def _content_event(self) -> Event | _Nothing | None:
+        """Take lines up to the one with a dot alone; only CRLF ends a line (RFC 5321 4.1.1.4)."""
+        content, data = self._content, self._in
+        # Danger: a server that also takes LF.LF as the end reads commands out of a message (smuggling).
+        end = -1
+        if not content and data.startswith(b".\r\n"):
+            end, take = 0, 3
+        else:
+            # the mark may lie across what is kept and what has come
+            tail = bytes(content[-2:]) if len(content) >= 2 else bytes(content)
+            joined = tail + bytes(data)
+            at = joined.find(b"\r\n.\r\n")
+            if at >= 0:
+                end = at + 2 - len(tail)
+                take = end + 3
+        if end >= 0:
+            self._keep(bytes(data[:end])) if end > 0 else None
+            del data[:take]
+            return self._whole()
+        hold = 4  # may be the start of the mark
+        if len(data) > hold:
+            self._keep(bytes(data[:-hold]))
+            del data[:-hold]
+        return None
+
+    def _keep(self, data: bytes) -> None:
+        self._content += data
+        # Danger: endless data; what can't be taken any more is dropped, all but the two octets that
+        # the mark of the end may begin with, so that memory stays bounded until the client ends it.
+        if self._spoilt is None and len(self._content) > self.limits.message:
+            self._spoilt = TOO_LARGE
+        if self._spoilt is not None:
+            del self._content[:-2]
+
+    def _whole(self) -> Event | _Nothing:
+        assert self._transaction is not None
+        transaction, content = self._transaction, bytes(self._content)
+        self._content = bytearray()
+        bad = self._spoilt or check_content(content, self.limits.text_line)
+        if bad is not None:
+            for _ in transaction.recipients if self.lmtp else (None,):
+                self._say(bad)
+            self._reset()
+            self._errors += 1
+            return Complaint(bad)
+        content = content[1:] if content.startswith(b".") else content
+        content = content.replace(b"\r\n.", CRLF)
+        event = Message(transaction.sender, transaction.parameters, tuple(transaction.recipients), content)
+        return self._ask(event)
+
+    # answers
+
+    def answer(self, *replies: Reply) -> None:
+        """Answer the event that waits. An LMTP message takes a reply for each recipient, in order;
+        they may come one at a time, and each goes out as it comes (RFC 2033 4.2).
+
+        Raises ``RuntimeError`` when more replies come than are due.
+        """
+        if self.state is State.CLOSED:
+            return
+        asked = self._asked
+        if asked is None or len(replies) > self._due:
+            raise RuntimeError(f"{len(replies)} replies come where {self._due} are due")
+        self._due -= len(replies)
+        for reply in replies:
+            self._say(reply)
+        if self._due:
+            return
+        self._asked = None
+        if isinstance(asked, Sender):
+            taken = replies[0].positive
+            self._transaction = _Transaction(asked.path, asked.parameters) if taken else None
+            self.state = State.MAIL if taken else State.READY
+        elif isinstance(asked, Recipient):
+            assert self._transaction is not None
+            if replies[0].positive:
+                self._transaction.recipients.append(asked.path)
+            self.state = State.RCPT if self._transaction.recipients else State.MAIL
+        else:
+            self._reset()
+        if replies[-1].code == 421:
+            self.state = State.CLOSED
+
+    def _ask(self, event: Sender | Recipient | Message) -> Event:
+        self._asked, self.state = event, State.ASKED
+        self._due = len(event.recipients) if self.lmtp and isinstance(event, Message) else 1
+        return event
+
+    def _reset(self) -> None:
+        self._transaction = None
+        if self.state is not State.FRESH:
+            self.state = State.READY
+
+    def _say(self, reply: Reply) -> None:
+        self._out += reply.encode(advice=self.extended)
+
+    def _complain(self, reply: Reply) -> Event:
+        self._errors += 1
+        if self._errors > self.limits.errors:
+            reply = TOO_MANY_ERRORS
+            self.state = State.CLOSED
+        self._say(reply)
+        return Complaint(reply)
+
+
+class _Nothing:
+    """An input that was dealt with and gives no event."""
+
+
+NOTHING = _Nothing()
+
+
+def check_content(content: bytes, text_line: int) -> Reply | None:
+    """Why a message's content can't be taken, or ``None``."""
+    if content.count(b"\r") != content.count(CRLF) or content.count(b"\n") != content.count(CRLF):
+        return BAD_CONTENT
+    if b"\0" in content:
+        return BAD_CONTENT
+    if len(content) > text_line and max(map(len, content.split(CRLF))) + 2 > text_line:
+        return LONG_TEXT
+    return None
--- /dev/null
+++ b/honeybarrow/register/schema.py
@@ -0,0 +1,61 @@
+"""The register's wire: JSON Lines over TCP, checked by schema (``docs/register.md``).
+
+A forwarder asks ``{"since": 41}``; the register answers with one item of news and goes on to push
+changes. A line that does not fit is refused whole.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+LINE_LIMIT = 1 << 22  # octets of one line: some 20,000 endpoints
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
+    """A record whose unknown fields are errors."""
+
+
+class Address(Strict, frozen=True):
+    """Where an endpoint listens."""
+
+    host: Annotated[str, Meta(min_length=1, max_length=255)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    protocol: Literal["smtp", "lmtp"] = "smtp"
+
+
+class Partner(Strict, frozen=True):
+    """A destination: its number, the domain that recipients name, its kind."""
+
+    number: Annotated[int, Meta(ge=0)]
+    name: Annotated[str, Meta(min_length=1, max_length=255, pattern=r"^[a-z0-9.-]+$")]
+    kind: str = ""
+
+
+class Row(Strict, frozen=True):
+    """One endpoint. ``weight``: calls a second that its partner takes from all forwarders together."""
+
+    target: Annotated[str, Meta(min_length=1, max_length=128, pattern=r"^[!-~]+$")]
+    destination: int
+    state: Literal["ready", "draining", "gone"]
+    zone: str = ""
+    weight: Annotated[float, Meta(ge=0.0, le=1e9)] = 1.0
+    addresses: tuple[Address, ...] = ()
+
+
+class News(Strict, frozen=True):
+    """A whole list, or what changed since the version that was asked for."""
+
+    kind: Literal["full", "changes"]
+    version: Annotated[int, Meta(ge=0)]
+    partners: tuple[Partner, ...] = ()
+    endpoints: tuple[Row, ...] = ()
+
+
+class Ask(Strict, frozen=True):
+    """The forwarder's line: the version that it holds, 0 for none, and its name."""
+
+    since: Annotated[int, Meta(ge=0)]
+    forwarder: str = ""
--- /dev/null
+++ b/honeybarrow/rehearsal/play.py
@@ -0,0 +1,189 @@
+"""Plays a scenario: stand-ins, register and clients here, forwarders where they are launched."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+
+from honeybarrow.config.schema import Forwarder
+from honeybarrow.rehearsal.client import ClientProgram
+from honeybarrow.rehearsal.judge import Judge, Verdict
+from honeybarrow.rehearsal.logbook import Logbook
+from honeybarrow.rehearsal.partner import StandIn, open_stations
+from honeybarrow.rehearsal.register import RegisterFactory, StandInList
+from honeybarrow.rehearsal.schema import Rehearsal, Trouble
+from honeybarrow.seams import Reactor
+
+CHECK_S = 0.1
+LISTED_ON = ("ready", "draining")
+
+
+class Launcher(Protocol):
+    """Starts and ends forwarders."""
+
+    def start(self, settings: Forwarder) -> Deferred[None]:
+        """Fires when its fronts take connections."""
+
+    def kill(self, name: str) -> None:
+        """End it without a word."""
+
+    def stop_all(self) -> Deferred[None]:
+        """End all as an operator would; fires when they are gone."""
+
+
+class StandIns:
+    """The partners and the register of a scenario, listening."""
+
+    def __init__(
+        self, scenario: Rehearsal, forwarder: Forwarder | None, reactor: Reactor, book: Logbook
+    ) -> None:
+        self.scenario, self.reactor, self.book = scenario, reactor, book
+        rules = forwarder.rules if forwarder else None
+        cold = (
+            (rules.start_capacity, rules.cold, rules.fall_multiple, rules.fall)
+            if rules
+            else (0.2, 9_000_000, 2.0, 3_000_000)
+        )
+        windows = {c.name: c.window for c in forwarder.classes if c.effect == "keyed"} if forwarder else {}
+        self.partners: dict[str, StandIn] = {}
+        self.ports: dict[str, int] = {}
+        self.listeners: list[Any] = []
+        self.register = StandInList(scenario.register, reactor, book)
+        for spec in scenario.partners:
+            rng = random.Random(f"{scenario.seed}/{spec.name}")
+            partner = StandIn(spec, reactor, book, rng, windows, cold)
+            self.partners[spec.name] = partner
+            for station, port in open_stations(reactor, partner):
+                self.listeners.append(port)
+                self.ports[station.target] = port.getHost().port
+            self.register.list_partner(spec, self.ports)
+        self.listeners.append(
+            reactor.listenTCP(scenario.register.port, RegisterFactory(self.register), interface="127.0.0.1")
+        )
+
+    @property
+    def register_port(self) -> int:
+        return int(self.listeners[-1].getHost().port)
+
+    def stop(self) -> None:
+        for port in self.listeners:
+            port.stopListening()
+
+    def trouble(self, trouble: Trouble) -> None:
+        """Begin a trouble of partners or the register; it ends by itself."""
+        later = self.reactor.callLater
+        last = trouble.last / 1e6
+        match trouble.kind:
+            case "register_down":
+                self.register.set_down(True)
+                later(last, self.register.set_down, False)
+            case "register_bad":
+                self.register.bad = True
+                later(last, setattr, self.register, "bad", False)
+            case "drain" | "add":
+                state = "draining" if trouble.kind == "drain" else "ready"
+                for partner in self.scenario.partners:
+                    for station in partner.stations:
+                        if station.target == trouble.who:
+                            self.register.put(partner, station, self.ports[station.target], state)
+            case _:
+                partner_ = self.partners[trouble.who]
+                partner_.begin(trouble.kind, trouble.size, trouble.last, trouble.message_class)
+
+
+class Play:
+    """One rehearsal, from the first listener to the verdict."""
+
+    def __init__(
+        self,
+        scenario: Rehearsal,
+        forwarders: list[Forwarder],
+        launcher: Launcher,
+        reactor: Reactor,
+        book: Logbook,
+        told: Callable[[str], None],
+    ) -> None:
+        self.scenario, self.launcher, self.reactor, self.book = scenario, launcher, reactor, book
+        self.forwarders = {each.name: each for each in forwarders}
+        self.told = told
+        self.stand_ins = StandIns(scenario, forwarders[0], reactor, book)
+        classes = {c.name: c for c in forwarders[0].classes}
+        self.clients = [
+            ClientProgram(
+                spec, classes, self._front, reactor, book, random.Random(f"{scenario.seed}/{spec.name}")
+            )
+            for spec in scenario.clients
+        ]
+        self.done: Deferred[Verdict] = Deferred()
+        self.ends_us = 0
+
+    def _front(self, forwarder: str, protocol: str) -> tuple[str, int]:
+        for listen in self.forwarders[forwarder].listen:
+            if listen.protocol == protocol:
+                return listen.host, listen.port
+        raise ValueError(f"{forwarder} has no {protocol} front")
+
+    def run(self) -> Deferred[Verdict]:
+        """Play the day; the verdict."""
+        starting = [self.launcher.start(each) for each in self.forwarders.values()]
+        left = len(starting)
+
+        def one_started(_: None) -> None:
+            nonlocal left
+            left -= 1
+            if left == 0:
+                self._begin()
+
+        for each in starting:
+            each.addCallbacks(one_started, self._failed)
+        return self.done
+
+    def _failed(self, failure: Any) -> None:
+        if not self.done.called:
+            self.launcher.stop_all().addBoth(lambda _: self.done.errback(failure))
+
+    def _begin(self) -> None:
+        self.told(f"{len(self.forwarders)} forwarders up, {self.scenario.length / 1e6:g} s of messages")
+        self.ends_us = self.book.now_us() + self.scenario.length + self.scenario.settle
+        for client in self.clients:
+            client.start(self.scenario.length)
+        for trouble in self.scenario.troubles:
+            self.reactor.callLater(trouble.at / 1e6, self._trouble, trouble)
+        self._check()
+
+    def _trouble(self, trouble: Trouble) -> None:
+        self.told(f"{trouble.kind} {trouble.who} for {trouble.last / 1e6:g} s".replace("  ", " "))
+        later, last = self.reactor.callLater, trouble.last / 1e6
+        if trouble.kind == "kill":
+            self.book.note(trouble.who, "killed")
+            self.launcher.kill(trouble.who)
+            later(last, self._restart, trouble.who)
+        elif trouble.kind == "burst":
+            for client in self.clients:
+                if client.spec.name == trouble.who:
+                    client.factor = trouble.size
+                    later(last, setattr, client, "factor", 1.0)
+        else:
+            self.stand_ins.trouble(trouble)
+
+    def _restart(self, name: str) -> None:
+        self.book.note(name, "restarted")
+        self.launcher.start(self.forwarders[name]).addErrback(self._failed)
+
+    def _check(self) -> None:
+        over = all(client.done for client in self.clients)
+        if not over and self.book.now_us() < self.ends_us:
+            self.reactor.callLater(CHECK_S, self._check)
+            return
+        for client in self.clients:
+            client.stop()
+        self.told("messages over, forwarders stop")
+        self.launcher.stop_all().addBoth(self._judge)
+
+    def _judge(self, _: Any) -> None:
+        self.stand_ins.stop()
+        first = next(iter(self.forwarders.values()))
+        self.done.callback(Judge(self.book.entries, self.scenario, first).judge())
--- /dev/null
+++ b/honeybarrow/rehearsal/schema.py
@@ -0,0 +1,157 @@
+"""The words of a scenario beside those of the settings: partners, clients, troubles, their bounds."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from honeybarrow.config import WORDS
+from honeybarrow.config.schema import Micros, Name, Port, Positive, Share, Strict
+
+
+class Station(Strict, frozen=True):
+    """One endpoint of a stand-in partner."""
+
+    target: Name
+    port: Port
+    protocol: Literal["smtp", "lmtp"] = "smtp"
+    zone: str = ""
+    listed: bool = True  # false: the register names it only once a trouble "add" does
+
+
+class Partner(Strict, frozen=True):
+    """A stand-in partner. ``rate``: calls a second from all forwarders, 0 for no limit; with ``span`` it
+    is a count in each such span of time. ``wait_told``: share of refusals that tell how long to wait."""
+
+    name: Name
+    number: Annotated[int, Meta(ge=0)]
+    stations: Annotated[tuple[Station, ...], Meta(min_length=1)]
+    kind: str = ""
+    rate: Annotated[float, Meta(ge=0.0)] = 0.0
+    span: Micros = 0
+    wait_told: Share = 1.0
+    wait: Micros = 400_000
+    service: Positive = 60_000
+    workers: Positive = 8
+    queue: Annotated[int, Meta(ge=0)] = 16
+    connections: Positive = 60
+    weight: Annotated[float, Meta(ge=0.0)] = 0.0  # the listed rate; 0: as the limit or the capacity
+
+    @property
+    def capacity(self) -> float:
+        """Calls a second when warm."""
+        return self.workers * 1e6 / self.service
+
+    @property
+    def listed_rate(self) -> float:
+        return self.weight or self.rate or self.capacity
+
+
+class StandInRegister(Strict, frozen=True):
+    """The stand-in register: where it listens, and how late it tells of changes."""
+
+    port: Port
+    delay: Micros = 200_000
+
+
+class Part(Strict, frozen=True):
+    """A part of a client's messages: a class to a partner, with a share and how many order keys."""
+
+    message_class: Name
+    partner: Name
+    share: Annotated[float, Meta(gt=0.0)] = 1.0
+    keys: Annotated[int, Meta(ge=0)] = 0
+
+
+class Client(Strict, frozen=True):
+    """A stand-in client program: messages a second, over which fronts, how it comes back."""
+
+    name: Name
+    rate: Annotated[float, Meta(gt=0.0, le=2000.0)]
+    parts: Annotated[tuple[Part, ...], Meta(min_length=1)]
+    forwarders: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    protocol: Literal["smtp", "lmtp"] = "smtp"
+    retries: Annotated[int, Meta(ge=0, le=10)] = 2
+    size: Annotated[int, Meta(ge=16, le=1 << 20)] = 300
+    connections: Annotated[int, Meta(ge=1, le=500)] = 200
+    tenant: str = ""
+
+
+TroubleKind = Literal[
+    "refuse",
+    "shut",
+    "hang",
+    "silent",
+    "slow",
+    "pauses",
+    "errors",
+    "class_fail",
+    "answer_lost",
+    "idle_drop",
+    "throttle",
+    "drain",
+    "add",
+    "register_down",
+    "register_bad",
+    "kill",
+    "burst",
+]
+
+
+class Trouble(Strict, frozen=True):
+    """Something that goes wrong. ``who``: a partner, station, forwarder or client; ``size`` by its kind:
+    share of calls (errors, answer_lost), times (slow, burst, throttle), microseconds of a pause."""
+
+    kind: TroubleKind
+    at: Micros
+    last: Micros = 0
+    who: str = ""
+    size: Annotated[float, Meta(ge=0.0)] = 1.0
+    message_class: str = ""
+
+
+class Rehearsal(Strict, frozen=True):
+    """One scenario: how long messages arrive, and how long after that all must be over."""
+
+    name: Name
+    length: Annotated[int, Meta(ge=100_000, le=600_000_000)]
+    partners: Annotated[tuple[Partner, ...], Meta(min_length=1)]
+    register: StandInRegister
+    clients: tuple[Client, ...] = ()
+    troubles: tuple[Trouble, ...] = ()
+    settle: Micros = 30_000_000
+    seed: Annotated[int, Meta(ge=0)] = 1
+
+    def __post_init__(self) -> None:
+        partners = {partner.name for partner in self.partners}
+        stations = {s.target for p in self.partners for s in p.stations}
+        clients = {client.name for client in self.clients}
+        for client in self.clients:
+            for part in client.parts:
+                if part.partner not in partners:
+                    raise ValueError(f"client {client.name}: no partner {part.partner!r}")
+        for trouble in self.troubles:
+            places = {
+                "drain": stations,
+                "add": stations,
+                "burst": clients,
+                "register_down": {""},
+                "register_bad": {""},
+                "kill": None,
+            }.get(trouble.kind, partners)
+            if places is not None and trouble.who not in places:
+                raise ValueError(f"trouble {trouble.kind}: there is no {trouble.who!r}")
+
+
+SCENARIO_WORDS: dict[str, type[msgspec.Struct]] = {
+    **WORDS,
+    "station": Station,
+    "partner": Partner,
+    "stand_in_register": StandInRegister,
+    "part": Part,
+    "client": Client,
+    "trouble": Trouble,
+    "rehearsal": Rehearsal,
+}
--- /dev/null
+++ b/honeybarrow/service.py
@@ -0,0 +1,167 @@
+"""Puts one forwarder together from checked settings: register, pool, core and fronts.
+
+The reactor, the clocks, the files and the log are handed in, so that the same service runs on sockets
+and in simulated time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
+
+from honeybarrow import mail
+from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.forward import Forwarder, Place, Pool, PoolLimits
+from honeybarrow.front import FrontFactory, FrontLimits, Mapper, Rules
+from honeybarrow.register import Directory, ListError, News, RegisterClient
+from honeybarrow.seams import Logger, Reactor
+
+EMPTY = News(kind="full", version=0)
+
+
+class Service:
+    """One forwarder process's parts, from :meth:`start` to :meth:`stop`."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        reactor: Reactor,
+        now_us: Callable[[], int],
+        date: Callable[[], str],
+        boot: str,
+        seed: int,
+        load_list: Callable[[], bytes | None],
+        save_list: Callable[[bytes], None],
+        log: Logger,
+        crashed: Callable[[Exception], None],
+    ) -> None:
+        self.settings, self.reactor, self.log = settings, reactor, log
+        self.boot, self.date, self.now_us = boot, date, now_us
+        self.load_list = load_list
+        self._count = 0
+        pool, fronts = settings.pool, settings.fronts
+        limits = PoolLimits(pool.idle_per_endpoint, pool.connect_timeout / 1e6, pool.idle / 1e6)
+        self.pool = Pool(reactor, reactor, settings.name, limits)
+        self.directory = Directory()
+        self.forwarder = Forwarder(
+            settings.settings(),
+            seed,
+            reactor,
+            now_us,
+            self.pool,
+            self._place,
+            self._subscribe,
+            log,
+            crashed,
+        )
+        place = (settings.register.host, settings.register.port)
+        timeout = settings.register.answer_timeout / 1e6
+        self.register = RegisterClient(
+            reactor,
+            reactor,
+            place,
+            timeout,
+            self.directory,
+            self.forwarder.news,
+            save_list,
+            log,
+            settings.name,
+        )
+        rules = settings.routing
+        self.mapper = Mapper(
+            Rules(
+                rules.message_class,
+                rules.destination,
+                rules.tenant,
+                rules.key,
+                rules.time_left_ms,
+                rules.need_key,
+                rules.need_tenant,
+            ),
+            {c.name: c.deadline for c in settings.classes},
+            frozenset(c.name for c in settings.classes if c.keep_order),
+            self.directory.number,
+        )
+        bounds = FrontLimits(
+            fronts.connections, fronts.command_timeout / 1e6, fronts.data_timeout / 1e6, fronts.hops
+        )
+        session = mail.Limits(
+            message=fronts.message_size,
+            recipients=fronts.recipients,
+            errors=fronts.errors,
+            buffered=max(mail.Limits().buffered, 2 * 65536),
+        )
+        self.fronts = [
+            FrontFactory(
+                self.forwarder,
+                self.mapper,
+                reactor,
+                now_us,
+                settings.name,
+                listen.protocol == "lmtp",
+                session,
+                bounds,
+                self._new_id,
+                date,
+                log,
+            )
+            for listen in settings.listen
+        ]
+        self.ports: list[Any] = []
+
+    def start(self) -> list[tuple[str, str, int]]:
+        """Listen; protocol, host and port of each front. Raises ``CannotListenError``."""
+        saved = self.load_list()
+        news = None
+        if saved is not None:
+            try:
+                news = self.directory.take(saved, saved=True)
+            except ListError as error:
+                self.log.warning("the saved list can't be taken", why=str(error))
+        for listen, factory in zip(self.settings.listen, self.fronts, strict=True):
+            self.ports.append(self.reactor.listenTCP(listen.port, factory, interface=listen.host))
+        if news is None:
+            news = self.directory.apply(EMPTY, saved=True)
+        self.forwarder.news(news)
+        places = [(f, p.getHost()) for f, p in zip(self.fronts, self.ports, strict=True)]
+        return [("lmtp" if factory.lmtp else "smtp", host.host, host.port) for factory, host in places]
+
+    def stop(self) -> Deferred[None]:
+        """Take nothing new, finish what is held within the grace, answer all; fires when done."""
+        closing = [maybeDeferred(port.stopListening) for port in self.ports]
+        for factory in self.fronts:
+            factory.stop()
+        done: Deferred[None] = Deferred()
+        timer = self.reactor.callLater(self.settings.stop_grace / 1e6, self._give_up, done)
+
+        def finished(_: Any) -> None:
+            if timer.active():
+                timer.cancel()
+            self.register.stop()
+            self.pool.close_all()
+            # the last answers are written in the next turn of the reactor
+            self.reactor.callLater(0.05, lambda: None if done.called else done.callback(None))
+
+        drained = self.forwarder.drained()
+        DeferredList([drained, *closing], consumeErrors=True).addCallback(finished)
+        return done
+
+    def _give_up(self, done: Deferred[None]) -> None:
+        self.log.warning("the grace is over", open=self.forwarder.open)
+        self.forwarder.abandon("shutting down")
+
+    def _subscribe(self) -> None:
+        self.register.subscribe()
+
+    def _place(self, target: str) -> Place | None:
+        addresses = self.directory.addresses(target)
+        if not addresses:
+            return None
+        first = addresses[0]
+        return Place(first.host, first.port, first.protocol == "lmtp")
+
+    def _new_id(self) -> str:
+        self._count += 1
+        return f"{self.settings.name}-{self.boot}-{self._count}"
