--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -751,7 +751,11 @@
             rate = max((e.lane.pace.rate or 0.0 for e in home.endpoints), default=0.0)
             queue = int(len(home.waiting) / rate * SECOND) if rate else 0
             pause = min(max(self._opens_us(home) - self.now, queue, START_US), most)
-            self.actions.append(hb.HandBack(message.id, pause))
+            keyed = message.may_have_run and message.kind.effect is hb.Effect.KEYED
+            within = (
+                max(0, message.doubt_us + message.kind.window_us - MARGIN_US - self.now) if keyed else None
+            )
+            self.actions.append(hb.HandBack(message.id, pause, within))
         else:
             self.actions.append(hb.GiveUp(message.id))
         self._over(message)
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -40,10 +40,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """Final answer: given up, with no promise about the effect. ``reply``: a partner's refusal for good."""
+    """Final answer: given up, with no promise about the effect.
+
+    ``reply``: a partner's refusal for good. ``within_us``: for so long the partner still drops a repeat
+    of a keyed message, so that handing it in again is harmless until then and not after.
+    """
 
     why: str = ""
     reply: Reply | None = None
+    within_us: int | None = None
 
 
 Answer = Delivered | Refused | Failed
@@ -207,17 +212,21 @@
         # Only now: an answer given above may withdraw a message that a later action of this turn names.
         over, self._over = self._over, []
         for message in over:
-            if self._held[message].out == 0:
+            held = self._held.get(message)  # named twice if it was sent, too late, in this turn
+            if held is not None and held.out == 0:
                 del self._held[message]
 
     def _carry_out(self, action: hb.Action) -> None:
         match action:
             case hb.Send():
                 self._send(action)
-            case hb.HandBack(message, pause_us):
+            case hb.HandBack(message, pause_us, within_us):
                 held = self._held[message]
                 why = held.last.why or held.last.status.value if held.last else "not tried"
-                self._answer(held, Refused(pause_us, why))
+                # Danger: "harmless to try again" holds for a keyed message in doubt only while its partner
+                # knows the key; a client that comes later by habit would have it done twice.
+                bounded = within_us is not None
+                self._answer(held, Failed(why, None, within_us) if bounded else Refused(pause_us, why))
             case hb.GiveUp(message):
                 held = self._held[message]
                 last = held.last
--- a/honeybarrow/front/protocol.py
+++ b/honeybarrow/front/protocol.py
@@ -54,9 +54,10 @@
             return Reply(250, "2.0.0", "delivered")
         case Refused(wait_us, why):
             return Reply(451, "4.3.2", f"refused, harmless to try again ({why})", wait_ms=-(-wait_us // 1000))
-        case Failed(why, None):
-            return Reply(554, "5.4.0", f"failed, may have taken effect ({why})")
-        case Failed(_, reply):
+        case Failed(why, None, within_us):
+            within = max(0, within_us or 0) // 1000
+            return Reply(554, "5.4.0", f"failed, may have taken effect ({why})", within_ms=within)
+        case Failed(_, reply, _):
             assert reply is not None
             return Reply(550, reply.enhanced, f"the partner refuses: {reply.code} {reply.text}")
 
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -254,10 +254,14 @@
 
 @dataclass(slots=True, frozen=True)
 class HandBack:
-    """Final answer: not done, and harmless to hand in again."""
+    """Final answer: not done, and harmless to hand in again.
+
+    ``within_us``: harmless for so long only, for a keyed message that may have run; ``None``: no bound.
+    """
 
     message: str
     pause_us: int = 0
+    within_us: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/honeybarrow/mail/client.py
+++ b/honeybarrow/mail/client.py
@@ -202,7 +202,7 @@
     def _transacted(self, reply: Reply) -> Event | None:
         phase = self._expected.pop(0)
         if "XADVICE" not in self.extensions:  # brackets in the text of others mean what they like
-            reply = replace(reply, wait_ms=0, load=())
+            reply = replace(reply, wait_ms=0, within_ms=0, load=())
         if reply.code == 421 and phase is not Phase.FINAL:
             self.reusable, self.phase = False, Phase.CLOSED
             return Answered(reply, phase) if self._failed is None else Answered(*self._failed)
--- a/honeybarrow/mail/grammar.py
+++ b/honeybarrow/mail/grammar.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass, field
 
@@ -26,7 +27,8 @@
 
     ``wait_ms`` and ``load`` are what the XADVICE extension carries (``docs/mail.md``): how long to
     stay away in milliseconds, and the share of the limit that is left with the limit itself in calls
-    a second. ``lines`` are the further lines of a multi-line reply.
+    a second. ``within_ms``: with a failure, for how long a repeat would still be dropped.
+    ``lines`` are the further lines of a multi-line reply.
     """
 
     code: int
@@ -35,6 +37,7 @@
     wait_ms: int = 0
     load: tuple[float, ...] = ()
     lines: tuple[str, ...] = field(default=())
+    within_ms: int = 0
 
     @property
     def positive(self) -> bool:
@@ -54,13 +57,17 @@
             return True
         return not self.enhanced and self.code in FULL_CODES
 
+    def _advice(self) -> list[str]:
+        numbers = (("wait", self.wait_ms), ("within", self.within_ms))
+        parts = [f"{name}={value}" for name, value in numbers if value > 0]
+        if self.load:
+            parts.append("load=" + ",".join(f"{value:g}" for value in self.load))
+        return parts
+
     def encode(self, advice: bool = False) -> bytes:
         """The reply as bytes; with ``advice`` the XADVICE part is written."""
         words = [self.enhanced] if self.enhanced else []
-        if advice and (self.wait_ms > 0 or self.load):
-            parts = [f"wait={self.wait_ms}"] if self.wait_ms > 0 else []
-            if self.load:
-                parts.append("load=" + ",".join(f"{value:g}" for value in self.load))
+        if advice and (parts := self._advice()):
             words.append("[" + " ".join(parts) + "]")
         head = " ".join([*words, clean(self.text)]).rstrip()
         rows = [head, *(clean(line) for line in self.lines)]
@@ -76,9 +83,8 @@
 FULL_CODES = frozenset({421, 450, 452})
 REPLY_TEXT_LIMIT = 400  # a reply line is 512 octets at most (RFC 5321 4.5.3.1.5); kept well under it
 ENHANCED = re.compile(r"([245])\.(\d{1,3})\.(\d{1,3})(?:\s+|$)")
-ADVICE = re.compile(
-    r"\[((?:wait=\d{1,9}|load=[0-9.,eE+-]{1,60})(?: (?:wait=\d{1,9}|load=[0-9.,eE+-]{1,60}))?)\]\s*"
-)
+ADVICE_PART = r"(?:wait=\d{1,9}|within=\d{1,9}|load=[0-9.,eE+-]{1,60})"
+ADVICE = re.compile(rf"\[({ADVICE_PART}(?: {ADVICE_PART}){{0,2}})\]\s*")
 
 
 def clean(text: str) -> str:
@@ -86,25 +92,32 @@
     return "".join(c if " " <= c <= "~" else "?" for c in text[:REPLY_TEXT_LIMIT])
 
 
-def read_advice(text: str) -> tuple[str, int, tuple[float, ...]]:
-    """Take the XADVICE part off a reply's text: the rest, the wait in milliseconds, the load."""
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """What the XADVICE part of a reply tells; see :class:`Reply`."""
+
+    wait_ms: int = 0
+    within_ms: int = 0
+    load: tuple[float, ...] = ()
+
+
+def read_advice(text: str) -> tuple[str, Advice]:
+    """Take the XADVICE part off a reply's text; one that is not well-formed stays text."""
     match = ADVICE.match(text)
     if not match:
-        return text, 0, ()
-    wait = 0
-    load: tuple[float, ...] = ()
-    for part in match.group(1).split(" "):
-        name, _, value = part.partition("=")
-        if name == "wait":
-            wait = int(value)
-        else:
-            try:
-                load = tuple(float(item) for item in value.split(","))
-            except ValueError:
-                return text, 0, ()
-    if any(item != item or abs(item) > 1e9 for item in load):
-        return text, 0, ()
-    return text[match.end() :], wait, load
+        return text, Advice()
+    parts = dict(part.split("=", 1) for part in match.group(1).split(" "))
+    try:
+        load = tuple(float(item) for item in parts["load"].split(",")) if "load" in parts else ()
+    except ValueError:
+        return text, Advice()
+    if any(not math.isfinite(item) or abs(item) > LOAD_MOST for item in load):
+        return text, Advice()
+    found = Advice(int(parts.get("wait", 0)), int(parts.get("within", 0)), load)
+    return text[match.end() :], found
+
+
+LOAD_MOST = 1e9
 
 
 class ReplyReader:
@@ -145,8 +158,8 @@
         # the class of an enhanced code must agree with its code (RFC 2034 4), else it is text
         if match and match.group(1) == str(code)[0]:
             enhanced, first = match.group(0).strip(), first[match.end() :]
-        text, wait, load = read_advice(first)
-        return Reply(code, enhanced, text, wait, load, tuple(rows[1:]))
+        text, told = read_advice(first)
+        return Reply(code, enhanced, text, told.wait_ms, told.load, tuple(rows[1:]), told.within_ms)
 
 
 class BadReply(ValueError):
--- a/honeybarrow/rehearsal/client.py
+++ b/honeybarrow/rehearsal/client.py
@@ -223,6 +223,9 @@
         if 400 <= reply.code < 500 and letter.tries <= self.spec.retries:
             wait = reply.wait_ms * 1000 or int(self.rng.uniform(*COME_BACK_US))
             self._again(letter, wait)
+        elif reply.within_ms * 1000 > WINDOW_MARGIN_US and letter.tries <= self.spec.retries:
+            letter.ends = min(letter.ends, self.book.now_us() + reply.within_ms * 1000 - WINDOW_MARGIN_US)
+            self._again(letter, 0)
         else:
             self.open -= 1
 
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,233 @@
+"""A short rough day in one process, with a forwarder that keeps the rules or a mutant that breaks one.
+
+``python -m tests.mutants NAME`` prints the broken rules, one a line; ``none`` is the program as it is.
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet import reactor as chosen
+from twisted.internet.defer import Deferred, succeed
+
+from honeybarrow import config, decide, forward
+from honeybarrow import interface as hb
+from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.forward import core
+from honeybarrow.rehearsal import SCENARIO_WORDS, Logbook, Play, Rehearsal, Verdict, report
+from honeybarrow.service import Service
+from tests.live import Quiet
+
+reactor: Any = chosen
+DAY = """
+classes = [
+    message_class("note", aim = "1s", deadline = "3s", late_share = 0.4),
+    message_class("pay", aim = "1s", deadline = "4s", effect = "unsafe"),
+    message_class("step", aim = "2s", deadline = "4s", effect = "unsafe", keep_order = True),
+]
+front = listen("smtp", port = %d)
+solo = forwarder("solo", classes = classes, register = register(port = %d), listen = [front],
+    routing = routing(key = "header:X-Order-Key", time_left_ms = "header:X-Time-Left-Ms"),
+    pool = pool(connect_timeout = "500ms"), rules = rules(cold = "4s", fall = "1s", settle = "400ms"),
+    slots = 30, max_open = 300, max_wait = "1s", stop_grace = "2s")
+def one(name, number, **more):
+    return partner(name, number = number, stations = [station(name + "-a", port = 0)], **more)
+partners = [
+    one("limit.example", 1, rate = 12.0, wait = "450ms", service = "20ms"),
+    one("pay.example", 2, service = "20ms"),
+    one("step.example", 3, service = "60ms"),
+    partner("drain.example", number = 4, stations = [station("d-a", port = 0), station("d-b", port = 0)]),
+    one("cold.example", 5, service = "60ms", workers = 2),
+]
+def to(name, rate, cls, partner_name, keys = 0):
+    parts = [part(cls, partner_name, keys = keys)]
+    return client(name, rate = rate, forwarders = ["solo"], retries = 1, parts = parts)
+clients = [to("a", 25.0, "note", "limit.example"), to("b", 10.0, "pay", "pay.example"),
+    to("c", 16.0, "step", "step.example", 3), to("d", 15.0, "note", "drain.example"),
+    to("e", 30.0, "note", "cold.example")]
+troubles = [trouble("answer_lost", at = "500ms", last = "4s", who = "pay.example", size = 0.4),
+    trouble("answer_lost", at = "500ms", last = "4s", who = "step.example", size = 0.2),
+    trouble("drain", at = "1500ms", who = "d-a"),
+    trouble("hang", at = "1s", last = "2500ms", who = "cold.example")]
+day = rehearsal("rough", length = "6s", settle = "6s", partners = partners, clients = clients,
+    troubles = troubles, register = stand_in_register(port = %d, delay = "50ms"))
+"""
+
+
+def patch(owner: Any, name: str, make: Callable[[Any], Any]) -> None:
+    setattr(owner, name, make(getattr(owner, name)))
+
+
+def drop_refusals(old: Any) -> Any:
+    def answer(self: Any, held: Any, final: Any) -> None:
+        if not isinstance(final, core.Refused):
+            old(self, held, final)
+
+    return answer
+
+
+def refuse_all(old: Any) -> Any:
+    def answer(self: Any, held: Any, final: Any) -> None:
+        old(self, held, core.Refused(0, "mutant") if isinstance(final, core.Failed) else final)
+
+    return answer
+
+
+def answer_late(old: Any) -> Any:
+    def answer(self: Any, held: Any, final: Any) -> None:
+        delay = 0.0 if isinstance(final, core.Delivered) else 1.0
+        reactor.callLater(delay, old, self, held, final)
+
+    return answer
+
+
+def send_after_answer(old: Any) -> Any:
+    def answer(self: Any, held: Any, final: Any) -> None:
+        old(self, held, final)
+        target = next(iter(self.sender.endpoints), None)
+        place = self.places(target) if target else None
+        if place is not None:
+            reactor.callLater(0.4, self.pool.call, target, place, held.submission.parcel, 1_000_000)
+
+    return answer
+
+
+def drains_unheard(old: Any) -> Any:
+    def membership(self: Any, news: hb.MembershipNews) -> None:
+        rows = tuple(replace(row, state=hb.EndpointState.READY) for row in news.endpoints)
+        old(self, replace(news, endpoints=rows))
+
+    return membership
+
+
+def keys_unheeded(old: Any) -> Any:
+    def arrived(self: Any, event: hb.MessageArrived) -> None:
+        old(
+            self,
+            hb.MessageArrived(
+                event.message, event.class_name, event.destination, event.left_us, event.tenant
+            ),
+        )
+
+    return arrived
+
+
+def never_in_doubt(old: Any) -> Any:
+    def ended(self: Any, event: hb.AttemptEnded) -> None:
+        old(self, replace(event, not_run=True))
+
+    return ended
+
+
+def waits_unheard(old: Any) -> Any:
+    def ended(self: Any, event: hb.AttemptEnded) -> None:
+        old(self, replace(event, wait_us=0))
+        for home in self.destinations.values():
+            home.shared.rest_us = 0
+
+    return ended
+
+
+def restless(old: Any) -> Any:
+    return lambda self: replace(old(self), settle_us=0)
+
+
+def rush() -> None:
+    """No health, no pace, no rest."""
+    patch(decide.Sender, "_health_opens", lambda old: lambda self, endpoint: self.now)
+    patch(decide.Sender, "_after_us", lambda old: lambda self, lane, silent_us=0: self.now)
+    patch(decide.Sender, "_out", lambda old: lambda self, endpoint, sign: None)
+    patch(decide.Pace, "refused", lambda old: lambda self, *args: None)
+    decide.LANE_SLOTS = 1000.0
+    patch(decide, "backoff_us", lambda old: lambda retry, rng: 100_000)
+
+
+def resend_unsafe() -> None:
+    patch(decide.Message, "last_start_us", lambda old: lambda self, useful_us: self.end_us - useful_us)
+    patch(decide.Message, "harmless", lambda old: property(lambda self: True))
+
+
+MUTANTS: dict[str, tuple[str, Callable[[], None]]] = {
+    "none": ("", lambda: None),
+    "refusals are not answered": ("lost", lambda: patch(core.Forwarder, "_answer", drop_refusals)),
+    "answers come late": ("lost", lambda: patch(core.Forwarder, "_answer", answer_late)),
+    "sends after the answer": ("lost", lambda: patch(core.Forwarder, "_answer", send_after_answer)),
+    "resends unsafe messages": ("effect", resend_unsafe),
+    "takes every loss for not run": ("effect", lambda: patch(decide.Sender, "_ended", never_in_doubt)),
+    "refuses what may have run": ("effect", lambda: patch(core.Forwarder, "_answer", refuse_all)),
+    "does not hear of drains": ("drain", lambda: patch(decide.Sender, "_membership", drains_unheard)),
+    "rushes to who returns": ("fail-back", rush),
+    "does not heed keys": ("order", lambda: patch(decide.Sender, "_arrived", keys_unheeded)),
+    "does not let keys rest": ("order", lambda: patch(Settings, "settings", restless)),
+    "does not heed waits": ("wait", lambda: patch(decide.Sender, "_ended", waits_unheard)),
+}
+
+
+class InProcess:
+    """Launches the forwarder in this process."""
+
+    def __init__(self) -> None:
+        self.service: Service | None = None
+
+    def start(self, settings: Settings) -> Deferred[None]:
+        self.service = Service(
+            settings,
+            reactor,
+            lambda: time.monotonic_ns() // 1000,
+            lambda: "today",
+            "test",
+            7,
+            lambda: None,
+            lambda data: None,
+            Quiet(),
+            lambda error: print(f"crash: {error}"),
+        )
+        self.service.start()
+        return succeed(None)
+
+    def kill(self, name: str) -> None:
+        raise NotImplementedError("a process of its own is needed for that")
+
+    def stop_all(self) -> Deferred[None]:
+        assert self.service is not None
+        return self.service.stop()
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return int(server.getsockname()[1])
+
+
+def main(name: str) -> None:
+    MUTANTS[name][1]()
+    register = free_port()
+    records = config.evaluate("day.star", DAY % (free_port(), register, register), SCENARIO_WORDS)
+    scenario = next(value for value in records.values() if isinstance(value, Rehearsal))
+    settings = config.every(records, Settings)
+    book = Logbook(lambda: time.monotonic_ns() // 1000)
+    play = Play(scenario, settings, InProcess(), reactor, book, lambda text: None)
+
+    def judged(verdict: Verdict) -> None:
+        print(report(verdict, name, scenario.seed), file=sys.stderr)
+        for rule, breaks in verdict.breaks.items():
+            if breaks:
+                print(rule)
+        print("judged")
+
+    reactor.callWhenRunning(
+        lambda: (
+            play.run().addCallbacks(judged, lambda failure: print(failure)).addBoth(lambda _: reactor.stop())
+        )
+    )
+    reactor.callLater(40, reactor.stop)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    assert forward.Forwarder is core.Forwarder
+    main(sys.argv[1])
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,237 @@
+"""What the end of a call means: each row of docs/calls.md over real sockets."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from honeybarrow.forward import Outcome, Parcel, Place, Pool, PoolLimits
+from honeybarrow.interface import Status
+from honeybarrow.mail import Path
+from tests.live import ScriptedPartner, Wire, always, in_reactor, reactor, until
+
+PARCEL = Parcel(Path("a", "c.example"), Path("note", "p.example"), b"Subject: x\r\n\r\nhello\r\n")
+ADVICE = ("XADVICE",)
+
+
+def pool() -> Pool:
+    return Pool(reactor, reactor, "fwd.example", PoolLimits(2, 0.4, 5.0))
+
+
+def call(the_pool: Pool, port: int, timeout_us: int = 600_000, lmtp: bool = False) -> Outcome:
+    outcome = in_reactor(the_pool.call, "t", Place("127.0.0.1", port, lmtp), PARCEL, timeout_us)
+    assert isinstance(outcome, Outcome)
+    return outcome
+
+
+def at(word: str, answer: str, *extensions: str) -> Callable[[Wire], None]:
+    """A partner that answers one command so, and the earlier ones with yes."""
+
+    def script(wire: Wire) -> None:
+        wire.greet(*extensions)
+        while line := wire.line():
+            if line.startswith(word):
+                wire.say(answer)
+            elif line.startswith("DATA"):
+                wire.say("354 go")
+            else:
+                wire.say("250 ok")
+
+    return script
+
+
+def final(answer: str, *extensions: str) -> Callable[[Wire], None]:
+    """A partner that answers the end of data so."""
+
+    def script(wire: Wire) -> None:
+        wire.greet(*extensions)
+        wire.take(answer)
+        wire.line()
+
+    return script
+
+
+def greeting(answer: str) -> Callable[[Wire], None]:
+    def script(wire: Wire) -> None:
+        wire.say(answer)
+        wire.line()
+
+    return script
+
+
+def lost_after(stage: str) -> Callable[[Wire], None]:
+    """A partner that resets the connection at a stage."""
+
+    def script(wire: Wire) -> None:
+        if stage != "accept":
+            wire.greet()
+        if stage == "mail":
+            wire.line()
+            wire.say("250 ok")
+            wire.line()
+        if stage in ("body", "dot"):
+            wire.envelope()
+            while (line := wire.line()) != ("." if stage == "dot" else "hello"):
+                assert line is not None
+        wire.reset()
+
+    return script
+
+
+def silent_after(stage: str) -> Callable[[Wire], None]:
+    def script(wire: Wire) -> None:
+        if stage != "accept":
+            wire.greet()
+        if stage == "dot":
+            wire.envelope()
+            wire.content()
+        time.sleep(3)
+
+    return script
+
+
+ROWS: list[tuple[str, Callable[[Wire], None], Status, bool, int]] = [
+    ("delivered", final("250 2.0.0 ok"), Status.OK, False, 0),
+    ("connection reset at once", lost_after("accept"), Status.CONNECT_FAILED, True, 0),
+    ("421 greeting", greeting("421 4.3.2 busy"), Status.CONNECT_FAILED, True, 0),
+    ("421 greeting with a wait", greeting("421 4.3.2 [wait=900] busy"), Status.FULL, True, 900_000),
+    ("554 greeting", greeting("554 5.7.1 go away"), Status.CONNECT_FAILED, True, 0),
+    ("no greeting", silent_after("accept"), Status.CONNECT_FAILED, True, 0),
+    ("lost at MAIL", lost_after("greeting"), Status.RESET, True, 0),
+    ("lost at RCPT", lost_after("mail"), Status.RESET, True, 0),
+    ("lost before the dot is read", lost_after("body"), Status.RESET, False, 0),
+    ("lost after the dot", lost_after("dot"), Status.RESET, False, 0),
+    ("silent at MAIL", silent_after("greeting"), Status.TIMEOUT, True, 0),
+    ("silent after the dot", silent_after("dot"), Status.TIMEOUT, False, 0),
+    ("full at MAIL", at("MAIL", "451 4.3.2 [wait=700] full", *ADVICE), Status.FULL, True, 700_000),
+    ("full at RCPT, no wait", at("RCPT", "452 4.5.3 full"), Status.FULL, True, 0),
+    ("421 at RCPT", at("RCPT", "421 4.3.2 closing"), Status.FULL, True, 0),
+    ("4xx other at RCPT", at("RCPT", "451 4.3.0 broken"), Status.ERROR, True, 0),
+    ("5xx at RCPT", at("RCPT", "550 5.3.0 broken"), Status.ERROR, True, 0),
+    ("5xx for good at RCPT", at("RCPT", "550 5.1.1 nobody"), Status.REJECTED, True, 0),
+    ("4xx at DATA", at("DATA", "451 4.3.0 broken"), Status.ERROR, True, 0),
+    ("full after the dot", final("452 4.3.1 [wait=300] full", *ADVICE), Status.FULL, True, 300_000),
+    ("4xx other after the dot", final("451 4.3.0 broken"), Status.ERROR, False, 0),
+    ("5xx after the dot", final("554 5.3.0 broken"), Status.ERROR, False, 0),
+    ("5xx for good after the dot", final("554 5.7.1 policy"), Status.REJECTED, True, 0),
+    ("421 after the dot", final("421 4.3.2 closing"), Status.RESET, False, 0),
+    ("421 after the dot with a wait", final("421 4.3.2 [wait=50] busy", *ADVICE), Status.FULL, True, 50_000),
+    ("half a reply", final("25"), Status.RESET, False, 0),
+    ("codes that differ in one reply", final("250-a\r\n451 b"), Status.RESET, False, 0),
+]
+
+
+@pytest.mark.parametrize(("name", "script", "status", "not_run", "wait"), ROWS, ids=[row[0] for row in ROWS])
+def test_the_end_of_a_call(
+    name: str, script: Callable[[Wire], None], status: Status, not_run: bool, wait: int
+) -> None:
+    partner = ScriptedPartner(script)
+    outcome = call(pool(), partner.port)
+    partner.close()
+    assert (outcome.status, outcome.not_run, outcome.wait_us) == (status, not_run, wait), outcome
+
+
+def test_no_listener_is_a_failed_connect() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+    outcome = call(pool(), port)
+    assert (outcome.status, outcome.not_run) == (Status.CONNECT_FAILED, True)
+
+
+def test_load_travels_with_the_answer() -> None:
+    partner = ScriptedPartner(final("250 2.0.0 [load=0.25,40] ok", *ADVICE))
+    assert call(pool(), partner.port).load == (0.25, 40.0)
+    partner.close()
+
+
+def test_a_late_reply_is_not_taken_for_the_next_call() -> None:
+    def late(wire: Wire) -> None:
+        wire.greet()
+        wire.envelope()
+        wire.content()
+        time.sleep(0.5)
+        wire.say("250 late")
+
+    the_pool, partner = pool(), ScriptedPartner(late, final("451 4.3.0 the second call's own"))
+    assert call(the_pool, partner.port, 200_000).status is Status.TIMEOUT
+    assert call(the_pool, partner.port, 2_000_000).status is Status.ERROR
+    partner.close()
+
+
+def test_an_idle_connection_is_used_again_and_its_loss_is_noticed() -> None:
+    the_pool, partner = pool(), ScriptedPartner(always)
+    for _ in range(3):
+        assert call(the_pool, partner.port).status is Status.OK
+    assert len(partner.wires) == 1 and len(the_pool.idle["t"]) == 1
+    partner.wires[0].sock.shutdown(socket.SHUT_RDWR)
+    until(lambda: not the_pool.idle)
+    assert call(the_pool, partner.port).status is Status.OK and len(partner.wires) == 2
+    in_reactor(the_pool.close_idle, "t")
+    until(lambda: not the_pool.idle)
+    partner.close()
+
+
+def test_a_partner_that_closes_as_we_write_has_not_run_the_call() -> None:
+    def once(wire: Wire) -> None:
+        wire.greet()
+        wire.take()
+        assert wire.line().startswith("MAIL")  # the next call has begun
+        wire.reset()
+
+    the_pool, partner = pool(), ScriptedPartner(once)
+    assert call(the_pool, partner.port).status is Status.OK
+    outcome = call(the_pool, partner.port)
+    assert (outcome.status, outcome.not_run) == (Status.RESET, True)
+    partner.close()
+
+
+def test_421_between_calls_is_no_end_of_any() -> None:
+    def leaving(wire: Wire) -> None:
+        wire.greet()
+        wire.take()
+        wire.say("421 4.3.2 closing")
+        wire.line()
+
+    the_pool, partner = pool(), ScriptedPartner(leaving, always)
+    assert call(the_pool, partner.port).status is Status.OK
+    until(lambda: not the_pool.idle)
+    assert call(the_pool, partner.port).status is Status.OK and len(partner.wires) == 2
+    partner.close()
+
+
+def test_idle_connections_are_bounded() -> None:
+    def slow(wire: Wire) -> None:
+        wire.greet()
+        while True:
+            wire.envelope()
+            wire.content()
+            time.sleep(0.1)
+            wire.say("250 ok")
+
+    the_pool, partner = pool(), ScriptedPartner(slow)
+    place = Place("127.0.0.1", partner.port)
+
+    def five() -> Any:
+        from twisted.internet.defer import DeferredList
+
+        return DeferredList([the_pool.call("t", place, PARCEL, 2_000_000) for _ in range(5)])
+
+    assert [outcome.status for _, outcome in in_reactor(five)] == [Status.OK] * 5
+    assert len(the_pool.idle["t"]) == 2
+    partner.close()
+
+
+def test_lmtp_calls() -> None:
+    def lmtp(wire: Wire) -> None:
+        wire.say("220 partner")
+        assert wire.line().startswith("LHLO")
+        wire.say("250 ok")
+        wire.take()
+
+    partner = ScriptedPartner(lmtp)
+    assert call(pool(), partner.port, lmtp=True).status is Status.OK
+    partner.close()
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,96 @@
+"""Settings by script: what is wrong is told with file, line and field."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from honeybarrow import config
+from honeybarrow import interface as hb
+from honeybarrow.cli import main
+from honeybarrow.config import schema
+from honeybarrow.rehearsal import SCENARIO_WORDS, Rehearsal
+
+ROOT = Path(__file__).parent.parent
+GOOD = """
+classes = [message_class("note", aim = "1s", deadline = "8s"),
+    message_class("post", aim = "1500ms", deadline = "8s", effect = "keyed", window = "5s")]
+def make(i):
+    front = listen("smtp", port = 0)
+    return forwarder("f%d" % i, classes = classes, register = register(port = 1), listen = [front])
+both = [make(i) for i in [1, 2]]
+"""
+
+
+def test_a_script_makes_checked_settings() -> None:
+    records = config.evaluate("f.star", GOOD)
+    found = config.every(records, schema.Forwarder)
+    assert [each.name for each in found] == ["f1", "f2"]
+    assert config.one(records, schema.Forwarder, Path("f.star"), "f2") is found[1]
+    settings = found[0].settings()
+    assert settings.classes[1].effect is hb.Effect.KEYED and settings.classes[1].aim_us == 1_500_000
+    with pytest.raises(config.ConfigError, match="there are 2"):
+        config.one(records, schema.Forwarder, Path("f.star"))
+
+
+BAD = [
+    ("\n\nx = message_class('a', aim = '1s')", "f.star:3: message_class: .*missing.*deadline"),
+    ("\nx = message_class('a', aim = '1q', deadline = '2s')", "f.star:2: .*field 'aim': '1q' is no duration"),
+    ("x = message_class('a', aim = '3s', deadline = '2s')", "f.star:1: .*deadline is under aim"),
+    ("x = message_class('a', aim = '1s', deadline = '2s', efect = 'safe')", "unknown field 'efect'"),
+    ("x = message_class('a', aim = '1s', deadline = '2s', effect = 'sure')", "f.star:1: .*field 'effect'"),
+    ("x = message_class('a', aim = '1s', deadline = '2s', effect = 'keyed')", "window is missing"),
+    ("x = listen('smtp', port = 70000)", "f.star:1: listen: .*field 'port'"),
+    ("x = routing(message_class = 'header:X')", "must be read from the recipient"),
+    ("x = routing(tenant = 'subject')", "tenant: no such source as 'subject'"),
+    ("x = (", "f.star:1: Parse error"),
+    ("x = y", "f.star:1: Variable `y` not found"),
+    ("x = 1 // 0", "f.star:1: "),
+    (GOOD.replace("listen = [front", "slots = 0, listen = [front"), "f.star:6: forwarder: .*field 'slots'"),
+    (GOOD.replace('"post"', '"note"'), "'note' is given twice"),
+]
+
+
+@pytest.mark.parametrize(("text", "told"), BAD)
+def test_what_is_wrong_is_told_where_it_stands(text: str, told: str) -> None:
+    with pytest.raises(config.ConfigError, match=told) as caught:
+        config.evaluate("f.star", text)
+    assert "\n" not in str(caught.value)
+
+
+def test_a_scenario_names_only_what_it_has() -> None:
+    text = (
+        "p = partner('a.example', number = 1, stations = [station('a', port = 0)])\n"
+        "x = rehearsal('r', length = '1s', partners = [p], register = stand_in_register(port = 0),"
+        " troubles = [trouble('shut', at = '0s', who = 'b.example')])\n"
+    )
+    with pytest.raises(config.ConfigError, match=r"trouble shut: there is no 'b\.example'"):
+        config.evaluate("f.star", text, SCENARIO_WORDS)
+
+
+def test_every_script_that_is_shipped_can_be_read() -> None:
+    scenarios = sorted((ROOT / "honeybarrow/rehearsal/scenarios").glob("*.star"))
+    assert len(scenarios) >= 2
+    for path in scenarios:
+        records = config.read(path, SCENARIO_WORDS)
+        assert config.one(records, Rehearsal, path).clients
+        for each in config.every(records, schema.Forwarder):
+            each.settings()
+    for path in sorted((ROOT / "examples").glob("*.star")):
+        config.read(path, SCENARIO_WORDS)
+
+
+def test_the_command_tells_faults_and_its_status(tmp_path: Path) -> None:
+    runner = CliRunner()
+    good, bad = tmp_path / "good.star", tmp_path / "bad.star"
+    good.write_text(GOOD)
+    bad.write_text(GOOD + "x = 1 +\n")
+    result = runner.invoke(main, ["check", str(good), "--name", "f1"])
+    assert result.exit_code == 0 and "class post: keyed" in result.output
+    result = runner.invoke(main, ["check", str(bad)])
+    assert result.exit_code == 2 and f"{bad}:8" in result.output
+    result = runner.invoke(main, ["check", str(tmp_path / "none.star")])
+    assert result.exit_code == 2 and "No such file" in result.output
+    assert "bad-day" in runner.invoke(main, ["rehearse", "--list"]).output
--- /dev/null
+++ b/tests/test_mail.py
@@ -0,0 +1,333 @@
+"""The grammar and the session machines of SMTP and LMTP, without sockets."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from honeybarrow import mail
+from honeybarrow.mail import Path, Phase, Reply, ServerSession, State
+from honeybarrow.mail.grammar import SYNTAX, BadReply, read_path
+
+OK = Reply(250, "2.0.0", "ok")
+LIMITS = mail.Limits(command_line=300, text_line=200, message=2000, recipients=3, errors=4, buffered=20_000)
+
+
+class Peer:
+    """A server session whose events are answered with yes, in pieces as asked."""
+
+    def __init__(self, lmtp: bool = False, final: Reply = OK) -> None:
+        self.session = ServerSession("front.example", lmtp, LIMITS)
+        self.final = final
+        self.events: list[Any] = []
+        self.out = b""
+        self.session.greet()
+        self.work()
+
+    def work(self) -> None:
+        while (event := self.session.next_event()) is not None:
+            self.events.append(event)
+            if isinstance(event, mail.Message):
+                self.session.answer(*[self.final] * (len(event.recipients) if self.session.lmtp else 1))
+            elif isinstance(event, mail.Sender | mail.Recipient):
+                self.session.answer(OK)
+        self.out += self.session.take_output()
+
+    def feed(self, data: bytes, piece: int = 0) -> list[int]:
+        """Feed bytes, whole or in pieces; the codes of the replies that came of it."""
+        before = len(self.out)
+        for at in range(0, len(data), piece or len(data) or 1):
+            self.session.receive(data[at : at + (piece or len(data))])
+            self.work()
+        lines = self.out[before:].split(b"\r\n")
+        return [int(line[:3]) for line in lines if line[3:4] == b" "]
+
+    def messages(self) -> list[mail.Message]:
+        return [event for event in self.events if isinstance(event, mail.Message)]
+
+
+def talk(*parts: bytes, lmtp: bool = False, piece: int = 0) -> tuple[Peer, list[int]]:
+    """Feed parts one after another, each after the replies to the last."""
+    peer = Peer(lmtp)
+    codes: list[int] = []
+    for part in parts:
+        codes += peer.feed(part, piece)
+    return peer, codes
+
+
+HELLO, ENVELOPE = b"EHLO c.example\r\n", b"MAIL FROM:<a@b.example>\r\nRCPT TO:<x@y.example>\r\n"
+
+
+@pytest.mark.parametrize("piece", [0, 1, 7])
+def test_a_message_arrives_whole_however_it_is_split(piece: int) -> None:
+    body = b"Subject: x\r\n\r\n.. dots\r\n...\r\nend\r\n"
+    peer, codes = talk(HELLO, ENVELOPE + b"DATA\r\n", body + b".\r\nQUIT\r\n", piece=piece)
+    assert codes == [250, 250, 250, 354, 250, 221]
+    assert peer.messages()[0].content == b"Subject: x\r\n\r\n. dots\r\n..\r\nend\r\n"
+    assert peer.session.state is State.CLOSED
+
+
+BAD_COMMANDS = [
+    ("unknown verb", b"FROB x\r\n", 500),
+    ("bare LF in a command", b"NOOP\nMAIL FROM:<a@b>\r\n", 500),
+    ("bare CR in a command", b"NO\rOP\r\n", 500),
+    ("NUL in a command", b"NO\0OP\r\n", 500),
+    ("octets beyond ASCII", b"MAIL FROM:<\xff@b>\r\n", 500),
+    ("line too long", b"NOOP " + b"x" * 400 + b"\r\n", 500),
+    ("DATA before MAIL", b"DATA\r\n", 503),
+    ("RCPT before MAIL", b"RCPT TO:<a@b>\r\n", 503),
+    ("LHLO on SMTP", b"LHLO c\r\n", 500),
+    ("no path", b"MAIL FROM:\r\n", 501),
+    ("no colon", b"MAIL <a@b.example>\r\n", 501),
+    ("open path", b"MAIL FROM:<a@b.example\r\n", 501),
+    ("bad domain", b"MAIL FROM:<a@-b>\r\n", 501),
+    ("long local part", b"MAIL FROM:<" + b"a" * 65 + b"@b.example>\r\n", 501),
+    ("unknown parameter", b"MAIL FROM:<a@b.example> FOO=1\r\n", 555),
+    ("size no number", b"MAIL FROM:<a@b.example> SIZE=x\r\n", 501),
+    ("size twice", b"MAIL FROM:<a@b.example> SIZE=1 SIZE=2\r\n", 501),
+    ("size over the limit", b"MAIL FROM:<a@b.example> SIZE=2001\r\n", 552),
+    ("no time to return in", b"MAIL FROM:<a@b.example> BY=0;R\r\n", 501),
+    ("recipient without domain", b"MAIL FROM:<a@b.example>\r\nRCPT TO:<>\r\n", 501),
+]
+
+
+@pytest.mark.parametrize(("name", "line", "code"), BAD_COMMANDS, ids=[row[0] for row in BAD_COMMANDS])
+def test_bad_commands_have_a_named_reply_and_the_session_goes_on(name: str, line: bytes, code: int) -> None:
+    for piece in (0, 1):
+        peer, codes = talk(HELLO, line, b"NOOP\r\n", piece=piece)
+        assert codes[-2:] == [code, 250], name
+
+
+BAD_CONTENT = [
+    ("bare LF", b"a\nb\r\n.\r\n", 554),
+    ("bare CR", b"a\rb\r\n.\r\n", 554),
+    ("NUL", b"a\0b\r\n.\r\n", 554),
+    ("LF dot LF", b"a\n.\nMAIL FROM:<evil@x>\r\n.\r\n", 554),
+    ("LF dot CRLF", b"a\n.\r\nMAIL FROM:<evil@x>\r\n.\r\n", 554),
+    ("CRLF dot LF", b"a\r\n.\nMAIL FROM:<evil@x>\r\n.\r\n", 554),
+    ("CRLF dot CR", b"a\r\n.\rMAIL FROM:<evil@x>\r\n.\r\n", 554),
+    ("long line", b"x" * 300 + b"\r\n.\r\n", 554),
+    ("too large", b"x\r\n" * 900 + b".\r\n", 552),
+]
+
+
+@pytest.mark.parametrize(("name", "data", "code"), BAD_CONTENT, ids=[row[0] for row in BAD_CONTENT])
+def test_bad_content_is_refused_whole_and_nothing_of_it_is_a_command(
+    name: str, data: bytes, code: int
+) -> None:
+    for piece in (0, 1, 5):
+        peer, codes = talk(HELLO, ENVELOPE + b"DATA\r\n", data, b"NOOP\r\n", piece=piece)
+        assert codes[3:] == [354, code, 250], name
+        assert peer.messages() == []
+        assert sum(isinstance(event, mail.Sender) for event in peer.events) == 1
+
+
+def test_endless_data_keeps_memory_bounded() -> None:
+    peer, _ = talk(HELLO, ENVELOPE + b"DATA\r\n")
+    for _ in range(2000):
+        peer.feed(b"y" * 1000 + b"\r\n")
+        assert len(peer.session._content) <= LIMITS.message + 2000
+    assert peer.feed(b"\r\n.\r\n") == [552]
+
+
+@pytest.mark.parametrize("data", [ENVELOPE + b"DATA\r\nSubject: x\r\n", b"EHLO again\r\nMAIL FROM:<a@b>\r\n"])
+def test_what_is_sent_before_the_reply_it_must_wait_for_ends_the_session(data: bytes) -> None:
+    peer, codes = talk(HELLO, data)
+    assert codes[-1] == 503
+    assert peer.session.state is State.CLOSED
+
+
+def test_too_many_errors_and_too_many_recipients() -> None:
+    peer, codes = talk(HELLO, b"FROB\r\n" * 9)
+    assert codes == [250, 500, 500, 500, 500, 421]
+    _, codes = talk(HELLO, b"MAIL FROM:<>\r\n" + b"RCPT TO:<x@y.example>\r\n" * 4)
+    assert codes == [250, 250, 250, 250, 250, 452]
+
+
+def test_lmtp_answers_each_recipient_in_order_as_answers_come() -> None:
+    peer = Peer(lmtp=True)
+    assert peer.feed(b"EHLO c\r\n") == [500]
+    peer.feed(b"LHLO c\r\n")
+    peer.feed(b"MAIL FROM:<>\r\nRCPT TO:<a@y.example>\r\nRCPT TO:<b@y.example>\r\nDATA\r\n")
+    session = peer.session
+    session.receive(b"x\r\n.\r\nNOOP\r\n")
+    assert isinstance(session.next_event(), mail.Message)
+    session.answer(Reply(250, "2.0.0", "first"))
+    assert session.waiting and b"first" in session.take_output()
+    session.answer(Reply(451, "4.3.2", "second", wait_ms=1500))
+    assert b"451 4.3.2 [wait=1500] second" in session.take_output()
+    with pytest.raises(RuntimeError):
+        session.answer(OK)
+    assert session.next_event() is None and b"250 2.0.0 ok" in session.take_output()
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.binary(max_size=60), max_size=30), st.booleans())
+def test_no_bytes_make_the_server_raise(parts: list[bytes], lmtp: bool) -> None:
+    peer = Peer(lmtp)
+    words = [b"EHLO x\r\n", b"LHLO x\r\n", ENVELOPE, b"DATA\r\n", b"\r\n.\r\n", b"."]
+    for i, part in enumerate(parts):
+        peer.feed(words[(len(part) + i) % len(words)])
+        peer.feed(part)
+        assert len(peer.session._in) <= LIMITS.buffered
+    assert peer.out.endswith(b"\r\n")
+    assert all(line[:3].isdigit() for line in peer.out.split(b"\r\n")[:-1])
+
+
+def join(client: mail.ClientSession, peer: Peer, pieces: random.Random | None = None) -> list[Any]:
+    """Let both sides talk until neither has more to say; the client's events."""
+    events: list[Any] = []
+    fresh, peer.out = peer.out, b""
+    while True:
+        size = pieces.randint(1, 9) if pieces else len(fresh) or 1
+        for at in range(0, len(fresh), size):
+            events += client.receive(fresh[at : at + size])
+        out = client.take_output()
+        if not out:
+            return events
+        peer.feed(out, pieces.randint(1, 9) if pieces else 0)
+        fresh, peer.out = peer.out, b""
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.text(st.characters(min_codepoint=32, max_codepoint=126), max_size=40), max_size=12),
+    st.integers(),
+)
+def test_content_passes_through_both_machines_unchanged(lines: list[str], seed: int) -> None:
+    content = "".join(line + "\r\n" for line in ["." + line for line in lines] + lines).encode()
+    for lmtp in (False, True):
+        peer, client = Peer(lmtp), mail.ClientSession("c.example", lmtp)
+        pieces = random.Random(seed)
+        assert [type(event) for event in join(client, peer, pieces)] == [mail.Ready]
+        client.send(Path("a", "b.example"), Path("x", "y.example"), content, 7)
+        (answered,) = join(client, peer, pieces)
+        assert answered.phase is Phase.FINAL and answered.reply.code == 250
+        assert peer.messages()[0].content == content
+        assert peer.messages()[0].parameters.by_s == 7
+        assert client.phase is Phase.IDLE
+
+
+def one(events: list[Any]) -> Any:
+    (event,) = events
+    return event
+
+
+def ready(*extensions: str) -> mail.ClientSession:
+    client = mail.ClientSession("c.example")
+    client.receive(b"220 hi\r\n")
+    client.receive(Reply(250, "", "hi", lines=extensions).encode())
+    client.take_output()
+    return client
+
+
+def test_the_client_is_committed_only_once_the_end_of_data_is_written() -> None:
+    client = ready()
+    client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+    assert client.take_output() == b"MAIL FROM:<a@b.example>\r\n"
+    client.receive(b"250 ok\r\n")
+    assert client.take_output() == b"RCPT TO:<x@y.example>\r\n"
+    client.receive(b"250 ok\r\n")
+    assert client.take_output() == b"DATA\r\n" and not client.committed
+    client.receive(b"354 go\r\n")
+    assert client.committed and client.take_output() == b"hello\r\n.\r\n"
+
+
+def test_a_refused_recipient_ends_the_transaction_and_the_session_goes_on() -> None:
+    client = ready("PIPELINING", "XADVICE")
+    client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+    assert client.take_output().count(b"\r\n") == 3
+    assert client.receive(b"250 ok\r\n451 4.3.2 [wait=700 load=0,12.5] full\r\n") == []
+    answered = one(client.receive(b"503 5.5.1 no\r\n"))
+    assert (answered.phase, answered.reply.wait_ms, answered.reply.load) == (Phase.RCPT, 700, (0.0, 12.5))
+    assert answered.reply.is_full and not client.committed
+    assert client.take_output() == b"RSET\r\n"
+    assert client.receive(b"250 ok\r\n") == [mail.Cleared()] and client.phase is Phase.IDLE
+
+
+def test_a_server_that_asks_for_data_it_refused_is_left() -> None:
+    client = ready("PIPELINING")
+    client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+    answered = one(client.receive(b"250 ok\r\n550 5.1.1 no\r\n354 go\r\n"))
+    assert answered.reply.for_good and not client.committed and not client.open
+
+
+def test_advice_counts_only_where_it_was_announced() -> None:
+    client = ready()
+    client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+    answered = one(client.receive(b"451 4.3.0 [wait=700] no\r\n"))
+    assert answered.reply.wait_ms == 0 and not answered.reply.is_full
+
+
+BAD_REPLIES = [
+    b"25\r\n",
+    b"2x0 ok\r\n",
+    b"250_ok\r\n",
+    b"250-a\r\n251 b\r\n",
+    b"250 ok\n",
+    b"999 x\r\n",
+    b"250 a\0\r\n",
+]
+
+
+@pytest.mark.parametrize("data", [*BAD_REPLIES, b"250-x\r\n" * 200, b"250 " + b"x" * 5000])
+def test_a_server_out_of_its_grammar_is_left(data: bytes) -> None:
+    client = ready()
+    client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+    events = client.receive(data)
+    assert [type(event) for event in events] == [mail.Broken] and not client.open
+
+
+def test_unasked_replies_between_transactions_end_the_session() -> None:
+    assert [type(event) for event in ready().receive(b"421 4.3.2 bye\r\n")] == [mail.Leaving]
+    assert [type(event) for event in ready().receive(b"250 what\r\n")] == [mail.Broken]
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(st.one_of(st.binary(max_size=40), st.sampled_from([b"220 x\r\n", b"250 x\r\n", b"354 x\r\n"])))
+)
+def test_no_bytes_make_the_client_raise(parts: list[bytes]) -> None:
+    client = mail.ClientSession("c.example")
+    for part in parts:
+        client.receive(part)
+        if client.phase is Phase.IDLE:
+            client.send(Path("a", "b.example"), Path("x", "y.example"), b"hello\r\n")
+        assert len(client._in) <= 5000
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ("TO:<a@b.example>", Path("a", "b.example")),
+        ("to: <a@B.Example>", Path("a", "b.example")),
+        ('TO:<"a b>c"@b.example>', Path('"a b>c"', "b.example")),
+        ("TO:<@relay.example,@two.example:a@b.example>", Path("a", "b.example")),
+        ("TO:<a@[127.0.0.1]>", Path("a", "[127.0.0.1]")),
+    ],
+)
+def test_paths(text: str, path: Path) -> None:
+    assert read_path(text, "TO:", SYNTAX)[0] == path
+
+
+def test_reply_text_of_a_partner_can_not_become_lines_of_ours() -> None:
+    assert Reply(550, "5.0.0", "a\r\n250 ok").encode() == b"550 5.0.0 a??250 ok\r\n"
+    with pytest.raises(BadReply):
+        mail.ReplyReader().feed(b"250 a\rb")
+
+
+def test_headers() -> None:
+    content = (
+        b"Subject: a\r\n b\r\nX-Order-Key:  k 1 \r\nReceived: x\r\nreceived: y\r\n\r\nX-Tenant: body\r\n"
+    )
+    assert mail.header(content, "subject") == "a b"
+    assert mail.header(content, "x-order-key") == "k 1"
+    assert mail.header(content, "X-Tenant") is None
+    assert mail.count_hops(content) == 2
+    traced = mail.add_trace(content, "c", "127.0.0.1", "f", "ESMTP", "id1", "today")
+    assert traced.endswith(content) and mail.header(traced, "Message-ID") == "<id1@f>"
+    assert mail.header(mail.add_trace(b"no header here", "c", "1", "f", "SMTP", "i", "t"), "Received")
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,162 @@
+"""The register: the list held, and the client that asks for it."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from honeybarrow import interface as hb
+from honeybarrow.register import Address, Directory, ListError, News, Partner, RegisterClient, Row
+from tests.live import Quiet, ScriptedPartner, Wire, in_reactor, reactor, until
+
+ONE, TWO = Partner(number=1, name="one.example", kind="shop"), Partner(number=2, name="two.example")
+
+
+def row(target: str, destination: int = 1, state: Any = "ready", port: int = 25) -> Row:
+    addresses = () if state == "gone" else (Address(host="127.0.0.1", port=port),)
+    return Row(target=target, destination=destination, state=state, addresses=addresses)
+
+
+def full(version: int, *rows: Row, partners: tuple[Partner, ...] = (ONE, TWO)) -> News:
+    return News(kind="full", version=version, partners=partners, endpoints=rows)
+
+
+def changes(version: int, *rows: Row) -> News:
+    return News(kind="changes", version=version, endpoints=rows)
+
+
+def test_lists_and_changes_are_taken() -> None:
+    directory = Directory()
+    news = directory.apply(full(5, row("a"), row("b", 2)))
+    assert (news.kind, news.version, [e.kind for e in news.endpoints]) == (hb.ListKind.FULL, 5, ["shop", ""])
+    assert directory.number("two.example") == 2 and directory.number("x") is None
+    news = directory.apply(changes(6, row("a", state="draining"), row("b", 2, "gone")))
+    assert [e.state.value for e in news.endpoints] == ["draining", "gone"]
+    assert directory.addresses("a") and not directory.addresses("b")
+    again = Directory()
+    saved = again.take(directory.dump(), saved=True)
+    assert saved.kind is hb.ListKind.SAVED and again.rows == directory.rows and again.version == 6
+
+
+BAD: list[bytes] = [
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    b'{"kind":"full"}',
+    b'{"kind":"full","version":-1}',
+    b'{"kind":"full","version":9,"what":1}',
+    b'{"kind":"full","version":9,"endpoints":[{"target":7}]}',
+    msgspec.json.encode(full(4, row("a"))),
+    msgspec.json.encode(full(9, row("a"), row("a"))),
+    msgspec.json.encode(full(9, row("a", 3))),
+    msgspec.json.encode(full(9, row("a", 2))),
+    msgspec.json.encode(full(9, Row(target="c", destination=1, state="ready"))),
+    msgspec.json.encode(full(9, row("a"), partners=(ONE, Partner(number=2, name="one.example")))),
+    b'{"kind":"full","version":9,"partners":[{"number":1,"name":"a b"}]}',
+]
+
+
+@pytest.mark.parametrize("line", BAD)
+def test_a_malformed_list_is_refused_whole_and_the_last_one_kept(line: bytes) -> None:
+    directory = Directory()
+    directory.apply(full(5, row("a"), row("b", 2)))
+    before = directory.dump()
+    with pytest.raises(ListError):
+        directory.take(line)
+    assert directory.dump() == before
+
+
+def test_random_bytes_in_a_list_are_told_as_such() -> None:
+    rng = random.Random(3)
+    good = msgspec.json.encode(full(5, row("a"), row("b", 2)))
+    for _ in range(500):
+        line = bytearray(good)
+        line[rng.randrange(len(line))] = rng.randrange(256)
+        directory = Directory()
+        try:
+            directory.take(bytes(line))
+        except ListError:
+            assert directory.version == 0
+
+
+def listen(
+    *scripts: Any, timeout: float = 5.0
+) -> tuple[RegisterClient, ScriptedPartner, list[hb.MembershipNews]]:
+    told: list[hb.MembershipNews] = []
+    register = ScriptedPartner(*scripts)
+    client = RegisterClient(
+        reactor,
+        reactor,
+        ("127.0.0.1", register.port),
+        timeout,
+        Directory(),
+        told.append,
+        lambda _: None,
+        Quiet(),
+    )
+    in_reactor(client.subscribe)
+    return client, register, told
+
+
+def say(wire: Wire, news: News) -> None:
+    wire.sock.sendall(msgspec.json.encode(news) + b"\n")
+
+
+def test_the_client_takes_the_list_and_what_is_pushed_and_hears_the_end() -> None:
+    def script(wire: Wire) -> None:
+        assert wire.line() == '{"since":0}'
+        say(wire, full(5, row("a")))
+        say(wire, changes(6, row("a", state="draining")))
+        wire.sock.close()
+
+    client, register, told = listen(script)
+    until(lambda: len(told) == 3)
+    assert [news.kind for news in told] == [hb.ListKind.FULL, hb.ListKind.CHANGES, hb.ListKind.FAILED]
+    in_reactor(client.stop)
+    register.close()
+
+
+def test_a_malformed_answer_and_no_answer_are_failures_and_asking_again_works() -> None:
+    def bad(wire: Wire) -> None:
+        wire.line()
+        wire.say('{"kind":"full"}')
+        wire.line()
+
+    def mute(wire: Wire) -> None:
+        wire.line()
+        wire.line()
+
+    def good(wire: Wire) -> None:
+        wire.line()
+        say(wire, full(5, row("a")))
+        wire.line()
+
+    client, register, told = listen(bad, mute, good, timeout=0.3)
+    for count in (1, 2, 3):
+        until(lambda count=count: len(told) == count)  # type: ignore[misc]
+        in_reactor(client.subscribe)
+    assert [news.kind for news in told[:3]] == [hb.ListKind.FAILED, hb.ListKind.FAILED, hb.ListKind.FULL]
+    in_reactor(client.stop)
+    register.close()
+
+
+def test_a_register_out_of_reach_is_a_failure() -> None:
+    class Network:
+        def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30) -> Any:
+            factory.clientConnectionFailed(None, Failure(OSError("refused")))  # type: ignore[no-untyped-call]
+            return type("Connector", (), {"state": "disconnected"})()
+
+        def listenTCP(self, *args: Any, **more: Any) -> Any: ...
+
+    told: list[hb.MembershipNews] = []
+    client = RegisterClient(
+        Network(), Clock(), ("127.0.0.1", 1), 1.0, Directory(), told.append, lambda _: None, Quiet()
+    )
+    for _ in range(3):
+        client.subscribe()
+    assert [news.kind for news in told] == [hb.ListKind.FAILED] * 3
