A destination whose messages all have short deadlines comes back from an outage

A trial needed the whole patience with an endpoint that is out, three times its usual five, 6 s at first: no such message ever has it, and an unsafe one waits for half its time besides.

Change: a third of the message's deadline is enough, if that is less than the patience. Could hurt where calls take more than a third of a deadline: such a trial is cut off and tells less.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -680,11 +680,13 @@
         """The endpoint for a message: one that answers, with few calls out and a warm connection."""
         # Danger: a trial call that is lost ends an unsafe message, so it waits until the end nears, but
         # where connects fail: it never ran then. A trial cut off by the end of its message tells nothing.
-        left = message.end_us - self.now
+        # But where all deadlines are shorter than the patience with it, no trial would ever go, and it would
+        # stay out for good: so a third of a message's time is enough for one.
+        left, enough = message.end_us - self.now, message.kind.deadline_us // 3
         unsafe = message.kind.effect is hb.Effect.UNSAFE and left > message.kind.deadline_us // 2
         open_now = [e for e in message.home.endpoints if e.usable and self._endpoint_opens(e) <= self.now]
         for e in [e for e in open_now if e.health is Health.OUT]:
-            if left < e.patience_us() or (unsafe and e.barred_us < e.since_us):
+            if left < min(e.patience_us(), enough) or (unsafe and e.barred_us < e.since_us):
                 open_now.remove(e)
         return min(open_now, key=lambda e: (e.health is Health.OUT, len(e.calls), -e.last_us), default=None)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -711,3 +711,21 @@
     it.end("m", hb.Status.CONNECT_FAILED)
     assert it.sender.endpoints["a:1"].lane.rest_us <= it.now
     assert it.until_sent("m", SECOND)
+
+
+@pytest.mark.parametrize("effect", [hb.Effect.SAFE, hb.Effect.UNSAFE])
+def test_a_destination_with_short_deadlines_only_comes_back(effect: hb.Effect) -> None:
+    # a call may take 6 s at an endpoint that is out; a message here lives for 4
+    caller = Caller(classes=(hb.MessageClass("note", SECOND, 4 * SECOND, effect),))
+    caller.know("a")
+    for number in range(6):
+        caller.arrive(f"lost{number}")
+        while any(m.out for m in caller.sender.messages.values()):
+            caller.end(f"lost{number}", hb.Status.TIMEOUT, not_run=True)
+            caller.wait(400_000)
+    caller.wait(4 * SECOND)
+    assert caller.sender.endpoints["a"].health is decide.Health.OUT
+    for number in range(10):
+        caller.arrive(f"new{number}")
+        caller.wait(SECOND)
+    assert any(send.message.startswith("new") for _, send in caller.sends)
