Rule on returning destinations: an outage under three seconds ramps too, for a busy sender

An answer within 3 s of the first loss was taken for chance (some calls lost on the way), so all that waited went off at once.

Change: it is no chance where six losses, each slower than an answer, came without a success between (0.2% at a third of calls lost). Refusals at once are a full table's, and losses of idle connections count for nothing, as before. Senders of few calls see no difference. Could hurt where calls are lost in clumps: a ramp in place of none.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -183,6 +183,7 @@
 TRICKLE_AGE = 8.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
+SHORT_LOST = 6  # unless so many slow losses came in a row: they hardly do by chance
 REST_FEW = 12  # senders that see enough calls each to suspect an outage by themselves, and need no rest
 REST_TIMES = 2.0  # a rest after a failure: the budget's part that it leaves to others
 # Danger: as a silent destination returns, most of hundreds have seen just one connect fail, slowly at that.
@@ -218,6 +219,7 @@
     streak: int = 0
     lost_us: int = NEVER  # when the first call of an outage was sent, as far as seen here
     errors: float = 0.0
+    lost: int = 0  # losses in a row that took longer than an answer does
     barred_us: int = 0  # last failed connect
     ended_us: int = -1  # when the last call ended: its connections are idle since
     stale: bool = False  # a call was lost on a connection that had been idle
@@ -520,6 +522,7 @@
         else:
             lane.opens_us = NEVER
             late = max(0, self.now - call.sent_us - int(endpoint.usual_us))  # beyond what an answer takes
+            endpoint.lost += fresh_loss and late > endpoint.usual_us and status is not hb.Status.ERROR
             silent = late if status is hb.Status.CONNECT_FAILED else 0
             lane.rest_us = self._after_us(lane, silent) if fresh_loss else lane.rest_us
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
@@ -547,6 +550,9 @@
         endpoint.usual_us += 0.15 * (took - endpoint.usual_us)
         endpoint.streak = 0
         young = self.now - endpoint.lost_us < SHORT_US
+        # Danger: an outage shorter than that leaves a destination cold too, and a busy sender with all that
+        # waited pushes it over alone. Full tables refuse at once; lost idle connections count for nothing.
+        chance, endpoint.lost = young and endpoint.lost < SHORT_LOST, 0
         if young and endpoint.barred_us >= endpoint.lost_us:
             self.tight[endpoint.home.kind.name] = True
         self.stale_us = self.now + STALE_SPAN_US if young and endpoint.stale else self.stale_us
@@ -559,7 +565,7 @@
             endpoint.turn(Health.WELL, self.now)
             self.actions.append(hb.Log(f"warm again: {endpoint.target}"))
             return
-        if endpoint.health is Health.OUT and not young:
+        if endpoint.health is Health.OUT and not chance:
             endpoint.turn(Health.RAMP, min(self.now, lane.opens_us))
             endpoint.next_us = self.now
             self.actions.append(hb.Log(f"returning: {endpoint.target}"))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -729,3 +729,31 @@
         caller.arrive(f"new{number}")
         caller.wait(SECOND)
     assert any(send.message.startswith("new") for _, send in caller.sends)
+
+
+def test_a_busy_sender_ramps_up_after_an_outage_of_less_than_three_seconds() -> None:
+    # 1.3 s of silence, seen by a sender with many calls: what waited must not go off at the first answer
+    caller = Caller(slots=16, max_open=500, weights=hb.Weights.NOMINAL)
+    rows = (hb.Endpoint("a", 1, hb.EndpointState.READY, "shop", weight=30.0),)
+    caller.feed(hb.MembershipNews(hb.ListKind.FULL, 1, rows))
+    begin, back = SECOND, 2_300_000
+    ended = 0
+    for step in range(500):
+        if step % 3 == 0:
+            caller.arrive(f"m{step}")
+        out = [call for call in caller.sends[ended:] if caller.now >= over_at(call, begin, back)]
+        for at, send in out:
+            status = hb.Status.TIMEOUT if begin <= at < back else hb.Status.OK
+            caller.end(send.message, status)
+            caller.sends.remove((at, send))
+            caller.sends.insert(ended, (at, send))
+            ended += 1
+        caller.wait(10_000)
+    sent = [at for at, _ in caller.sends if back <= at < back + SECOND]
+    assert 0 < len(sent) <= caller.settings.fall_multiple * 0.3 * 30.0
+
+
+def over_at(call: tuple[int, hb.Send], begin: int, back: int) -> int:
+    """When a call ends: by its time-out if it was sent into the silence, else by its answer."""
+    at, send = call
+    return at + (send.timeout_us if begin <= at < back else 50_000)
