--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -199,6 +199,43 @@
     sys.exit(play(path, scenario, forwarders, report))
 
 
+@main.command()
+@click.argument("recipients", nargs=-1, required=True)
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=2525, show_default=True, type=click.IntRange(1, 65535))
+@click.option("--lmtp", is_flag=True, help="Speak LMTP: several recipients in one transaction.")
+@click.option("--sender", default="", help="The envelope's sender; empty for none.")
+@click.option("--file", type=click.File("rb"), default="-", help="The message; standard input if not given.")
+@click.option("--by", "by_s", type=click.IntRange(1, 86_400), default=None, help="Seconds to deliver in.")
+@click.option("--id", "envelope_id", default="", help="The same for the same message handed in again.")
+@click.option("--timeout", default=60.0, show_default=True, help="Seconds to wait for an answer.")
+def send(
+    recipients: tuple[str, ...],
+    host: str,
+    port: int,
+    lmtp: bool,
+    sender: str,
+    file: Any,
+    by_s: int | None,
+    envelope_id: str,
+    timeout: float,
+) -> None:
+    """Hand a message in and print the answer for each recipient.
+
+    Exit status: 0 all delivered, 75 some refused (come back), 69 some failed, 2 wrong use.
+    """
+    from honeybarrow.cli.send import hand_in
+
+    content = file.read(MESSAGE_MOST + 1)
+    if len(content) > MESSAGE_MOST:
+        fail(f"the message is longer than {MESSAGE_MOST} octets", USAGE)
+    try:
+        sys.exit(hand_in(host, port, lmtp, sender, recipients, content, by_s, envelope_id, timeout))
+    except ValueError as error:
+        fail(str(error), USAGE)
+
+
+MESSAGE_MOST = 64 << 20
 SCENARIOS = Path(__file__).parent.parent / "rehearsal" / "scenarios"
 
 
--- a/honeybarrow/mail/__init__.py
+++ b/honeybarrow/mail/__init__.py
@@ -14,7 +14,16 @@
     Ready,
     Refused,
 )
-from honeybarrow.mail.grammar import BadReply, MailParameters, Path, Reply, ReplyReader, clean, quote_dots
+from honeybarrow.mail.grammar import (
+    BadReply,
+    MailParameters,
+    Path,
+    Reply,
+    ReplyReader,
+    clean,
+    quote_dots,
+    read_address,
+)
 from honeybarrow.mail.headers import add_trace, count_hops, header, split_content
 from honeybarrow.mail.server import (
     Closed,
@@ -60,5 +69,6 @@
     "count_hops",
     "header",
     "quote_dots",
+    "read_address",
     "split_content",
 ]
--- a/honeybarrow/mail/client.py
+++ b/honeybarrow/mail/client.py
@@ -1,13 +1,15 @@
 """The client's side of an SMTP or LMTP session, without I/O: replies in, events and bytes out.
 
-One transaction at a time, one recipient each, so that each call has one end of its own. The session
-knows at each moment whether the end of data has been written: until then the message is known not to
-have run at the server (RFC 5321 4.1.1.4: the end of data asks it to take the message on).
+One transaction at a time: of one recipient for a call, so that it has one end of its own, or of several
+for a client's batch. The session knows at each moment whether the end of data has been written: until
+then the message is known not to have run at the server (RFC 5321 4.1.1.4: the end of data asks it to
+take the message on).
 """
 
 from __future__ import annotations
 
 import enum
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from honeybarrow.mail import grammar
@@ -45,10 +47,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The transaction has its reply. ``phase`` tells which command it answers."""
+    """A recipient has its reply; ``phase`` tells which command it answers, ``last`` whether the
+    transaction is over. ``place`` counts the recipients as they were given."""
 
     reply: Reply
     phase: Phase
+    place: int = 0
+    last: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +96,11 @@
         self._content = b""
         self._later: list[tuple[Phase, bytes]] = []  # commands not yet written, without PIPELINING
         self._expected: list[Phase] = []
-        self._failed: tuple[Reply, Phase] | None = None
+        self._failed: tuple[Reply, Phase] | None = None  # why no recipient is left
+        self._count = 0  # recipients of the transaction
+        self._unanswered: list[int] = []  # their places, till each has its answer
+        self._asked = 0  # of them, how many have the reply to RCPT
+        self._taken: list[int] = []  # of those that were taken, with LMTP till each has its answer
 
     def take_output(self) -> bytes:
         out, self._out = bytes(self._out), bytearray()
@@ -104,8 +113,21 @@
     def send(self, sender: Path, recipient: Path, content: bytes, by_s: int | None = None) -> None:
         """Start a transaction. ``by_s``: seconds left, passed on where the server knows DELIVERBY.
 
-        Raises ``RuntimeError`` while another transaction is out, and ``ValueError`` for content that
-        the server's stated size does not allow.
+        Raises ``RuntimeError`` while another transaction is out.
+        """
+        self.send_many(sender, [recipient], content, by_s)
+
+    def send_many(
+        self,
+        sender: Path,
+        recipients: Sequence[Path],
+        content: bytes,
+        by_s: int | None = None,
+        envelope_id: str = "",
+    ) -> None:
+        """Start a transaction of several recipients. With SMTP those that were taken have one reply.
+
+        ``envelope_id`` goes to servers that offer DSN or XENVID, as xtext (RFC 3461 4).
         """
         if self.phase is not Phase.IDLE:
             raise RuntimeError(f"not idle but {self.phase.value}")
@@ -116,12 +138,16 @@
             words.append("BODY=8BITMIME")
         if by_s is not None and by_s > 0 and "DELIVERBY" in self.extensions:
             words.append(f"BY={min(by_s, 999_999_999)};R")
+        if envelope_id and ("DSN" in self.extensions or "XENVID" in self.extensions):
+            words.append(f"ENVID={xtext(envelope_id)}")
         commands = [
             (Phase.MAIL, " ".join(words).encode("ascii") + CRLF),
-            (Phase.RCPT, f"RCPT TO:<{recipient}>".encode("ascii") + CRLF),
+            *((Phase.RCPT, f"RCPT TO:<{each}>".encode("ascii") + CRLF) for each in recipients),
             (Phase.DATA, b"DATA" + CRLF),
         ]
         self._content, self.committed, self._failed = content, False, None
+        self._count, self._asked, self._taken = len(recipients), 0, []
+        self._unanswered = list(range(len(recipients)))
         together = len(commands) if "PIPELINING" in self.extensions else 1
         self._expected, self._later = [], commands
         for _ in range(together):
@@ -156,92 +182,125 @@
             except BadReply as error:
                 events.append(self._break(str(error)))
                 break
-            if reply is not None and (event := self._replied(reply)) is not None:
-                events.append(event)
+            if reply is not None:
+                events += self._replied(reply)
         return events
 
-    def _replied(self, reply: Reply) -> Event | None:
+    def _replied(self, reply: Reply) -> list[Event]:
         if self.phase is Phase.GREETING:
             if reply.code != 220:
-                return self._refuse(reply)
+                return [self._refuse(reply)]
             self._out += f"{'LHLO' if self.lmtp else 'EHLO'} {self.name}".encode("ascii") + CRLF
             self.phase = Phase.HELLO
-            return None
+            return []
         if self.phase is Phase.HELLO:
             return self._hello(reply)
         if self.phase is Phase.QUIT:
             self.phase = Phase.CLOSED
-            return None
+            return []
         if self.phase is Phase.RESET:
             if not reply.positive:
                 self.reusable, self.phase = False, Phase.CLOSED
-                return Leaving(reply)
+                return [Leaving(reply)]
             self.phase = Phase.IDLE
-            return Cleared()
+            return [Cleared()]
         if self.phase is Phase.IDLE:
             # nothing was asked: a server may say 421 at any time (RFC 5321 3.8); all else is out of step
             self.reusable, self.phase = False, Phase.CLOSED
             if reply.code == 421:
-                return Leaving(reply)
-            return self._break(f"an unasked reply {reply.code}")
+                return [Leaving(reply)]
+            return [self._break(f"an unasked reply {reply.code}")]
         return self._transacted(reply)
 
-    def _hello(self, reply: Reply) -> Event | None:
+    def _hello(self, reply: Reply) -> list[Event]:
         if not reply.positive:
             if self._extended and not self.lmtp and reply.code in (500, 502, 504):
                 self._extended = False
                 self._out += f"HELO {self.name}".encode("ascii") + CRLF
-                return None
-            return self._refuse(reply)
+                return []
+            return [self._refuse(reply)]
         for line in reply.lines if self._extended else ():
             word, _, rest = line.strip().partition(" ")
             self.extensions[word.upper()] = rest
         self.phase = Phase.IDLE
-        return Ready(frozenset(self.extensions))
+        return [Ready(frozenset(self.extensions))]
 
-    def _transacted(self, reply: Reply) -> Event | None:
+    def _transacted(self, reply: Reply) -> list[Event]:
         phase = self._expected.pop(0)
         if "XADVICE" not in self.extensions:  # brackets in the text of others mean what they like
             reply = replace(reply, wait_ms=0, within_ms=0, load=())
         if reply.code == 421 and phase is not Phase.FINAL:
-            self.reusable, self.phase = False, Phase.CLOSED
-            return Answered(reply, phase) if self._failed is None else Answered(*self._failed)
+            return self._close(self._failed or (reply, phase))
         if phase is Phase.FINAL:
-            return self._finish(reply, phase)
+            return self._final(reply)
         good = reply.code == 354 if phase is Phase.DATA else 200 <= reply.code < 300
-        if good and self._failed is None:
-            if phase is Phase.DATA:
-                # Danger: from here on the server may take the message; all before is known not to run.
-                self._out += grammar.quote_dots(self._content)
-                self.committed = True
-                self._expected.append(Phase.FINAL)
-                self.phase = Phase.FINAL
-            elif self._later:
-                self._write_next()
-            else:
-                self.phase = self._expected[0]
-            return None
-        if self._failed is None:
+        events: list[Event] = []
+        if phase is Phase.RCPT:
+            place, self._asked = self._asked, self._asked + 1
+            if good and self._failed is None:
+                self._taken.append(place)
+            elif self._failed is None:
+                if self._asked == self._count and not self._taken:
+                    self._failed = (reply, phase)  # told at the end, when all replies are in
+                else:
+                    self._unanswered.remove(place)
+                    events.append(Answered(reply, phase, place, False))
+        elif not good and self._failed is None:
             self._failed = (reply, phase)
+        if phase is Phase.DATA and good and self._failed is None:
+            # Danger: from here on the server may take the message; all before is known not to run.
+            self._out += grammar.quote_dots(self._content)
+            self.committed = True
+            self._expected += [Phase.FINAL] * (len(self._taken) if self.lmtp else 1)
+            self.phase = Phase.FINAL
+            return events
+        if self._failed is not None:
             self._later.clear()
-        elif phase is Phase.DATA and reply.code == 354:
-            # The server takes data though it refused: an empty message might be delivered. Leave.
-            self.reusable, self.phase = False, Phase.CLOSED
-            return Answered(*self._failed)
+            if phase is Phase.DATA and reply.code == 354:
+                # The server takes data though it refused: an empty message might be delivered. Leave.
+                return events + self._close(self._failed)
+            if not self._expected:
+                return events + self._finish(*self._failed)
+        elif self._later and not self._expected:
+            self._write_next()
         if self._expected:
-            return None
-        return self._finish(*self._failed)
+            self.phase = self._expected[0]
+        return events
 
-    def _finish(self, reply: Reply, phase: Phase) -> Event:
-        self._content = b""
+    def _final(self, reply: Reply) -> list[Event]:
+        """A reply to the end of data: for one recipient with LMTP, else for all that were taken."""
+        places = [self._taken.pop(0)] if self.lmtp else self._taken
+        last = not self.lmtp or not self._taken
+        events: list[Event] = [
+            Answered(reply, Phase.FINAL, place, last and place == places[-1]) for place in places
+        ]
+        if reply.code == 421 and not last:
+            events += [Answered(reply, Phase.FINAL, p, p == self._taken[-1]) for p in self._taken]
         if reply.code == 421:
             self.reusable, self.phase = False, Phase.CLOSED
-            return Answered(reply, phase)
+        elif last:
+            self.phase = Phase.IDLE
+        if last:
+            self._content, self._taken = b"", []
+        return events
+
+    def _rest(self, reply: Reply, phase: Phase) -> list[Event]:
+        """The answer of those that have none: a sender or DATA refused, or all recipients."""
+        places, self._unanswered = self._unanswered, []
+        self._taken, self._content = [], b""
+        return [Answered(reply, phase, place, place == places[-1]) for place in places]
+
+    def _finish(self, reply: Reply, phase: Phase) -> list[Event]:
+        events = self._rest(reply, phase)
         self.phase = Phase.IDLE
         if phase in (Phase.RCPT, Phase.DATA):
             self._out += b"RSET" + CRLF
             self.phase = Phase.RESET
-        return Answered(reply, phase)
+        return events
+
+    def _close(self, failed: tuple[Reply, Phase]) -> list[Event]:
+        self.reusable, self.phase = False, Phase.CLOSED
+        return self._rest(*failed)
 
     def _write_next(self) -> None:
         phase, line = self._later.pop(0)
@@ -256,3 +315,8 @@
     def _break(self, reason: str) -> Broken:
         self.reusable, self.phase = False, Phase.CLOSED
         return Broken(reason)
+
+
+def xtext(text: str) -> str:
+    """A text as RFC 3461 4 writes it."""
+    return "".join(c if "!" <= c <= "~" and c not in "+=" else f"+{ord(c):02X}" for c in text if ord(c) < 127)
--- a/honeybarrow/mail/grammar.py
+++ b/honeybarrow/mail/grammar.py
@@ -254,6 +254,17 @@
     return Path(local, domain), rest.strip()
 
 
+def read_address(text: str) -> Path:
+    """``local@domain``, or nothing for the null path. Raises ``ValueError``."""
+    try:
+        path, rest = read_path(f"TO:<{text}>", "TO:", BAD_RECIPIENT)
+    except GrammarError:
+        rest = text
+    if rest:
+        raise ValueError(f"{clean(text)!r} is no address")
+    return path
+
+
 @dataclass(frozen=True, slots=True)
 class MailParameters:
     """The parameters of MAIL: SIZE in octets, BODY, BY in seconds with its mode, ENVID as it was written."""
