--- /dev/null
+++ b/benchmarks/load_front.py
@@ -0,0 +1,229 @@
+"""Open loop against one forwarder: messages at their intended times, however late the answers are.
+
+    python -m benchmarks.load_front [--rate 590] [--seconds 120] [--destinations 100] [--silent 10]
+
+Latency counts from the time at which a message was meant to be handed in, so a stall is not left out of the
+figures (no coordinated omission). The forwarder, its partners and the load are processes of their own.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import resource
+import subprocess
+import sys
+import time
+from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+from twisted.internet import reactor as chosen
+from twisted.internet.protocol import Factory, Protocol
+
+from honeybarrow import config, mail
+from honeybarrow.client import Client, ClientLimits, Delivered
+from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.register import Address, News, Partner, Row
+from honeybarrow.service import Service
+
+reactor: Any = chosen
+AIM_S = 4.0
+SCRIPT = """
+one = forwarder("load.example", classes = [
+        message_class("status", aim = "4s", deadline = "16s", late_share = 0.4),
+        message_class("posting", aim = "4s", deadline = "20s", effect = "keyed", window = "5s",
+            late_share = 0.3),
+        message_class("pay", aim = "4s", deadline = "24s", effect = "unsafe", late_share = 0.5),
+    ],
+    register = register(port = 1), listen = [listen("smtp", port = 0), listen("lmtp", port = 0)],
+    slots = 150, max_open = 3000, weights = "none", max_wait = "3s", fronts = fronts(connections = 4000))
+"""
+CLASSES = ("status", "status", "posting", "posting", "posting", "pay")
+
+
+class Quiet:
+    """A log for nobody."""
+
+    def debug(self, event: str, **fields: Any) -> None: ...
+
+    info = warning = error = debug
+
+
+class Partners(Protocol):
+    """All partners behind one port: each answers after 60 to 140 ms, the silent ones never."""
+
+    transport: Any = None
+    silent = 0
+
+    def __init__(self) -> None:
+        self.session = mail.ServerSession("partner.example")
+
+    def connectionMade(self) -> None:
+        self.session.greet()
+        self.transport.write(self.session.take_output())
+
+    def dataReceived(self, data: bytes) -> None:
+        self.session.receive(data)
+        self.work()
+
+    def work(self) -> None:
+        while (event := self.session.next_event()) is not None:
+            if isinstance(event, mail.Sender | mail.Recipient):
+                self.session.answer(mail.Reply(250, "2.0.0", "ok"))
+            elif isinstance(event, mail.Message) and int(event.recipients[0].domain[1:-8]) >= self.silent:
+                reactor.callLater(random.uniform(0.06, 0.14), self.done)
+        self.transport.write(self.session.take_output())
+
+    def done(self) -> None:
+        if self.connected and self.session.waiting:
+            self.session.answer(mail.Reply(250, "2.0.0", "ok"))
+            self.work()
+
+
+def serve_partners(args: argparse.Namespace) -> None:
+    Partners.silent = args.silent
+    factory = Factory.forProtocol(Partners)
+    factory.noisy = False
+    print(reactor.listenTCP(0, factory, 1000, "127.0.0.1").getHost().port, flush=True)
+    reactor.run()
+
+
+def serve_forwarder(args: argparse.Namespace) -> None:
+    settings = config.every(config.evaluate("load", SCRIPT), Settings)[0]
+    service = Service(
+        settings,
+        reactor,
+        lambda: time.monotonic_ns() // 1000,
+        lambda: "today",
+        "load",
+        1,
+        lambda: None,
+        lambda data: None,
+        Quiet(),
+        lambda error: reactor.stop(),
+    )
+    service.register.subscribe = lambda: None  # type: ignore[method-assign]
+    ports = {protocol: port for protocol, _, port in service.start()}
+    address = (Address(host="127.0.0.1", port=args.partners),)
+    count = args.destinations
+    partners = tuple(Partner(number=i, name=f"d{i}.example") for i in range(count))
+    rows = tuple(Row(target=f"t{i}", destination=i, state="ready", addresses=address) for i in range(count))
+    news = News(kind="full", version=1, partners=partners, endpoints=rows)
+    service.forwarder.news(service.directory.apply(news))
+    print(json.dumps(ports), flush=True)
+
+    def tell() -> None:
+        sys.stdin.readline()
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        print(json.dumps([usage.ru_utime + usage.ru_stime, usage.ru_maxrss]), flush=True)
+        if reactor.running:
+            reactor.callFromThread(reactor.stop)
+
+    reactor.callInThread(tell)
+    reactor.run()
+
+
+def load(args: argparse.Namespace) -> None:
+    ports = json.loads(args.ports)
+    limits = ClientLimits(connections=1500, waiting=100_000, timeout_s=40.0)
+    clients = [
+        Client(reactor, "127.0.0.1", port, name == "lmtp", f"{name}.example", limits)
+        for name, port in ports.items()
+    ]
+    rng = random.Random(1)
+    everyone, healthy = (HdrHistogram(1, 60_000_000, 3) for _ in range(2))
+    answers: Counter[str] = Counter()
+    on_time: Counter[str] = Counter()
+    total = int(args.rate * args.seconds)
+    began = time.monotonic() + 0.5
+    left = total
+
+    def hand_in(number: int) -> None:
+        meant = began + number / args.rate
+        where = rng.randrange(args.destinations)
+        content = f"Message-ID: <{number}@load.example>\r\n\r\n{'x' * 200}\r\n".encode()
+        recipient = f"{rng.choice(CLASSES)}@d{where}.example"
+        answer = clients[number % 2].submit("a@load.example", recipient, content)
+        answer.addCallback(heard, meant, where >= args.silent)
+
+    def heard(answer: Any, meant: float, well: bool) -> None:
+        nonlocal left
+        took = time.monotonic() - meant
+        kind = "healthy" if well else "silent"
+        answers[f"{kind} {type(answer).__name__}"] += 1
+        if isinstance(answer, Delivered):
+            everyone.record_value(max(1, int(took * 1e6)))
+            on_time[kind] += took <= AIM_S
+            if well:
+                healthy.record_value(max(1, int(took * 1e6)))
+        left -= 1
+        if left == 0:
+            reactor.stop()
+
+    def step(number: int) -> None:
+        now = time.monotonic()
+        while number < total and began + number / args.rate <= now:
+            hand_in(number)
+            number += 1
+        if number < total:
+            reactor.callLater(0.002, step, number)
+
+    reactor.callWhenRunning(step, 0)
+    reactor.callLater(args.seconds + 60, reactor.stop)
+    reactor.run()
+    told = {f"p{p:g} ms": healthy.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)}
+    share = {
+        kind: on_time[kind] / max(1, sum(n for k, n in answers.items() if k.startswith(kind)))
+        for kind in ("healthy", "silent")
+    }
+    print(json.dumps({"answers": answers, "on time": share, "healthy": told, "without answer": left}))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rate", type=float, default=590.0)
+    parser.add_argument("--seconds", type=float, default=120.0)
+    parser.add_argument("--destinations", type=int, default=100)
+    parser.add_argument("--silent", type=int, default=0)
+    parser.add_argument("--role", default="")
+    parser.add_argument("--partners", type=int, default=0)
+    parser.add_argument("--ports", default="")
+    args = parser.parse_args()
+    if args.rate > 5000 or args.seconds > 600:
+        parser.error("at most 5,000 a second for 600 seconds")
+    roles = {"partners": serve_partners, "forwarder": serve_forwarder, "load": load}
+    if args.role:
+        roles[args.role](args)
+        return
+    command = [sys.executable, "-m", "benchmarks.load_front", "--destinations", str(args.destinations)]
+    command += ["--silent", str(args.silent), "--rate", str(args.rate), "--seconds", str(args.seconds)]
+    partners = subprocess.Popen([*command, "--role", "partners"], stdout=subprocess.PIPE, text=True)
+    assert partners.stdout
+    port = partners.stdout.readline().strip()
+    pipes: Any = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "text": True}
+    forwarder = subprocess.Popen([*command, "--role", "forwarder", "--partners", port], **pipes)
+    assert forwarder.stdout and forwarder.stdin
+    try:
+        ports = forwarder.stdout.readline().strip()
+        done = subprocess.run(
+            [*command, "--role", "load", "--ports", ports], stdout=subprocess.PIPE, text=True, check=True
+        )
+        forwarder.stdin.write("\n")
+        forwarder.stdin.flush()
+        cpu, peak = json.loads(forwarder.stdout.readline())
+        print(
+            f"{args.rate:g} a second for {args.seconds:g} s, {args.destinations} destinations,"
+            f" {args.silent} silent"
+        )
+        print(done.stdout.strip())
+        each = cpu / (args.rate * args.seconds) * 1e6
+        print(f"forwarder: {each:.0f} us CPU a message, peak {peak / 1024:.0f} MiB")
+    finally:
+        partners.terminate()
+        forwarder.terminate()
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -17,6 +17,7 @@
 import time
 from typing import Any
 
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
 from twisted.internet import reactor as chosen
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
@@ -24,6 +25,7 @@
 from honeybarrow.config.schema import Forwarder as Settings
 from honeybarrow.forward import Parcel, Place, Pool, PoolLimits
 from honeybarrow.interface import Status
+from honeybarrow.observe import Both, Metrics, Spans
 from honeybarrow.register import Address, News, Partner, Row
 from honeybarrow.service import Service
 
@@ -157,6 +159,11 @@
             lambda error: reactor.stop(),
         )
         service.register.subscribe = lambda: None  # type: ignore[method-assign]
+        if kind == "observed":
+            sink_file = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115 - for the whole run
+            exporter = ConsoleSpanExporter(out=sink_file, formatter=lambda span: span.to_json(indent=None))
+            spans = Spans("bench", 0.1, BatchSpanProcessor(exporter, max_queue_size=20_000), time.time_ns)
+            service.forwarder.observer = Both(Metrics({}), spans)
         port = service.start()[0][2]
         address = Address(host="127.0.0.1", port=sink)
         partners = tuple(Partner(number=i, name=f"d{i}.example") for i in range(destinations))
@@ -248,13 +255,16 @@
         port = int(sink.stdout.readline())
         print(f"{os.cpu_count()} processors, {args.messages} messages, {args.connections} connections,")
         print(f"{args.destinations} destinations, each server one process on one core")
-        ratios = []
+        ratios, extra = [], []
         for _ in range(args.rounds):
             relay, forwarder = measure("relay", args, port), measure("forwarder", args, port)
-            for name, figures in (("relay", relay), ("forwarder", forwarder)):
+            observed = measure("observed", args, port)
+            extra.append(observed["CPU us a message"] / forwarder["CPU us a message"])
+            for name, figures in (("relay", relay), ("forwarder", forwarder), ("observed", observed)):
                 print(f"{name:10}", ", ".join(f"{key} {value:.0f}" for key, value in figures.items()))
             ratios.append(forwarder["CPU us a message"] / relay["CPU us a message"])
         print("forwarder / relay, CPU a message: " + ", ".join(f"{ratio:.2f}" for ratio in sorted(ratios)))
+        print("with numbers, and spans of a tenth / without: " + ", ".join(f"{r:.2f}" for r in sorted(extra)))
     finally:
         sink.terminate()
 
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,151 @@
+"""The core in simulated time, with a pool that a test answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from honeybarrow import interface as hb
+from honeybarrow.forward import Failed, Forwarder, Outcome, Parcel, Place, Refused, Submission
+from honeybarrow.mail import Path
+from tests.helpers import settings
+from tests.live import Quiet
+
+PARCEL = Parcel(Path("", ""), Path("note", "p.example"), b"x\r\n")
+
+
+class FakePool:
+    """Keeps the calls for the test to end."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, Deferred[Outcome]]] = []
+
+    def call(self, target: str, place: Place, parcel: Parcel, timeout_us: int) -> Deferred[Outcome]:
+        done: Deferred[Outcome] = Deferred()
+        self.calls.append((target, done))
+        return done
+
+    def close_idle(self, target: str) -> None: ...
+
+
+class Bench:
+    """A core on a simulated clock, whose own time a test may step."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.clock, self.pool, self.step_us = Clock(), FakePool(), 0
+        self.crashes: list[Exception] = []
+        pool: Any = self.pool
+        self.core = Forwarder(
+            settings(**changes),
+            1,
+            self.clock,
+            lambda: 10_000_000 + int(self.clock.seconds() * 1e6) + self.step_us,
+            pool,
+            lambda target: Place("127.0.0.1", 1),
+            lambda: None,
+            Quiet(),
+            self.crashes.append,
+        )
+        row = hb.Endpoint("a", 1, hb.EndpointState.READY, "shop")
+        self.core.news(hb.MembershipNews(hb.ListKind.FULL, 1, (row,)))
+        self.clock.advance(0)
+
+    def submit(self, name: str, left_us: int = 4_000_000, kind: str = "note") -> list[Any]:
+        answers: list[Any] = []
+        self.core.submit(Submission(name, kind, 1, left_us, PARCEL)).addBoth(answers.append)
+        return answers
+
+    def run(self, seconds: float) -> None:
+        self.clock.pump([0.01] * int(seconds * 100))
+
+
+def test_a_clock_that_steps_back_neither_ends_the_process_nor_loses_a_message() -> None:
+    bench = Bench()
+    answers = bench.submit("m1")
+    bench.run(0.5)
+    bench.step_us = -5_000_000
+    bench.run(0.5)
+    for _ in range(200):
+        for _, call in bench.pool.calls:
+            if not call.called:
+                call.callback(Outcome(hb.Status.ERROR))
+        bench.run(0.1)
+    assert len(answers) == 1 and isinstance(answers[0], Refused) and bench.crashes == []
+
+
+def test_a_busy_reactor_does_not_give_a_message_more_time() -> None:
+    bench = Bench()
+    answers = bench.submit("m1", 1_000_000)
+    bench.clock.rightNow += 0.9  # the turn comes late; a tenth of a second is left
+    bench.clock.advance(0)
+    bench.run(0.11)
+    for _, call in bench.pool.calls:
+        if not call.called:
+            call.callback(Outcome(hb.Status.TIMEOUT, True))
+    bench.run(0.02)
+    assert len(answers) == 1 and bench.core.open == 0
+
+
+def test_events_of_one_turn_go_to_the_module_together() -> None:
+    bench = Bench(slots=8)
+    turns: list[int] = []
+    handle = bench.core.sender.handle
+
+    def counting(now: int, events: list[hb.Event]) -> list[hb.Action]:
+        turns.append(len(events))
+        return handle(now, events)
+
+    bench.core.sender.handle = counting  # type: ignore[method-assign]
+    for number in range(5):
+        bench.submit(f"m{number}")
+    bench.clock.advance(0)
+    assert turns == [5] and len(bench.pool.calls) > 1
+
+
+def test_a_module_that_fails_leaves_no_message_without_an_answer() -> None:
+    bench = Bench()
+    answers = bench.submit("m1")
+    bench.core.sender.handle = lambda now, events: [][0]  # type: ignore[method-assign, assignment]
+    bench.clock.advance(0)
+    assert [type(answer) for answer in answers] == [Failed] and len(bench.crashes) == 1
+
+
+def test_a_withdrawn_message_frees_its_slot_when_its_call_ends() -> None:
+    bench = Bench(slots=1)
+    told: list[Any] = []
+    bench.core.withdrawn = lambda *args: told.append(("withdrawn", *args))
+    bench.core.ran_on = lambda message, outcome, doubt: told.append(("ran on", message, doubt))
+    done = bench.core.submit(Submission("m1", "pay", 1, 4_000_000, PARCEL))
+    errors: list[Any] = []
+
+    def cancelled(failure: Failure) -> None:
+        errors.append(failure.type)
+
+    done.addErrback(cancelled)
+    bench.run(0.05)
+    done.cancel()
+    bench.run(0.05)
+    answers = bench.submit("m2")
+    bench.run(0.05)
+    assert (
+        len(bench.pool.calls) == 1 and told == [("withdrawn", "m1", 1, False)] and errors == [CancelledError]
+    )
+    bench.pool.calls[0][1].callback(Outcome(hb.Status.RESET))
+    bench.run(0.5)
+    assert told[1:] == [("ran on", "m1", True)] and len(bench.pool.calls) == 2
+    bench.pool.calls[1][1].callback(Outcome(hb.Status.OK))
+    bench.run(0.05)
+    assert len(answers) == 1 and bench.core._held == {}
+
+
+def test_wrong_submissions_are_errors() -> None:
+    bench = Bench()
+    bench.submit("m1")
+    with pytest.raises(ValueError, match="held already"):
+        bench.submit("m1")
+    with pytest.raises(ValueError, match="unknown class"):
+        bench.submit("m2", kind="what")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -343,3 +343,22 @@
         assert client.reply().startswith("502")
         client.say("STARTTLS")
         assert client.reply().startswith("502")
+
+
+def test_a_forwarder_stopped_in_mid_batch_answers_each_recipient() -> None:
+    go, taken = threading.Event(), list[str]()
+    with forwarder("slots = 4, max_open = 40") as live:
+        live.know("p.example", ScriptedPartner(holding(go, taken)).port)
+        client = live.client("lmtp")
+        client.say("MAIL FROM:<>", *["RCPT TO:<note@p.example>"] * 12, "DATA")
+        assert [client.reply()[:3] for _ in range(14)] == ["250"] * 13 + ["354"]
+        client.say("", "x", ".")
+        until(lambda: len(taken) >= 2)
+        stopping = threading.Thread(target=live.stop)
+        stopping.start()
+        until(lambda: live.service.intake.stopping)
+        go.set()
+        codes = [client.reply()[:3] for _ in range(12)]
+        assert codes.count("250") >= 4 and set(codes) <= {"250", "451", "554"}
+        stopping.join(20)
+        live.stop = lambda: None  # type: ignore[method-assign]
