Rule on returning destinations: a sparse pace no longer brings all who were refused back together

That refusal cuts the pace to a call in 4 s for each sender alike, and the rest that should spread them is measured by the age of the failures, which is nothing at a first refusal: a clump came back as a clump, onto a cold partner.

Change: the rest begins when the pace opens, and counts the time until then once.

--- a/honeybarrow/again.py
+++ b/honeybarrow/again.py
@@ -26,7 +26,6 @@
 
 from honeybarrow.interface import Effect
 
-
 FORGET_AT_ONCE = 8
 
 
--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -621,6 +621,9 @@
         known = lane.reported or lane.listed * (1.0 if s.weights is hb.Weights.NOMINAL else ROUGH_SURE)
         opens = max(self.now, lane.hold_us)
         held = max(REST_TIMES * (opens - min(lane.failing_us, opens)), REST_SILENT * silent_us)
+        # Danger: a sparse pace holds all that were refused together back for just as long.
+        paced = max(opens, lane.pace.opens_us() if s.senders > REST_FEW else 0)
+        held, opens = max(held, paced - opens), paced
         held *= (s.senders > REST_FEW) / SECOND
         held = min(held, REST_TIMES * (s.senders - 1) / known) if known > 0 else held
         most = start * cold + slope * cold * cold / 2  # of the usual calls a second: the cold time's part
