Endpoints with several addresses: IPv4, IPv6 and Unix sockets, tried in a learned order

Need: partners publish an endpoint under several addresses; only the first was used, and one that accepts and hangs cost the attempt.

Change: `addresses.py` decides without I/O: order by priority, family and measured connect time, growing jittered rests after failures, the delay before a further connect, and no further one beside it where the last call failed. The pool carries it out: the first that greets carries the call, the others are closed before an octet is written; a told wait binds the siblings; after the end of data nothing else is tried.

--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -79,7 +79,7 @@
         while (event := self.session.next_event()) is not None:
             if isinstance(event, mail.Message):
                 parcel = Parcel(event.sender, event.recipients[0], event.content)
-                call = self.pool.call("sink", Place("127.0.0.1", self.port), parcel, 30_000_000)
+                call = self.pool.call("sink", [Place("127.0.0.1", self.port)], parcel, 30_000_000)
                 call.addCallback(self.called)
             elif isinstance(event, mail.Sender | mail.Recipient):
                 self.session.answer(mail.Reply(250, "2.0.0", "ok"))
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import sys
 import time
@@ -300,6 +301,27 @@
     return Spans(settings.name, settings.observe.share, processor, time.time_ns)
 
 
+@main.command("addresses")
+@click.argument("file", type=click.Path(path_type=Path))
+def addresses_(file: Path) -> None:
+    """Print for a saved list FILE which addresses of each endpoint are tried, in which order, and why."""
+    from honeybarrow.addresses import Address, Addresses
+    from honeybarrow.register import Directory, ListError
+
+    directory = Directory()
+    try:
+        directory.take(file.read_bytes(), saved=True)
+    except (OSError, ListError) as error:
+        fail(f"{file}: {error}", USAGE)
+    book = Addresses(random.Random(1))
+    for target, row in directory.rows.items():
+        click.echo(f"{target} ({directory.partners[row.destination].name}, {row.state})")
+        found = [Address(a.host, a.port, a.protocol == "lmtp", a.path, a.priority) for a in row.addresses]
+        for place, choice in enumerate(book.order(0, found), start=1):
+            protocol = "lmtp" if choice.address.lmtp else "smtp"
+            click.echo(f"  {place}. {choice.address} {protocol}: {choice.why}")
+
+
 @main.command("hash-password")
 @click.argument("name")
 @click.password_option()
--- a/honeybarrow/config/schema.py
+++ b/honeybarrow/config/schema.py
@@ -189,6 +189,7 @@
     tenants: tuple[Tenant, ...] = ()
     clients: tuple[ClientProgram, ...] = ()
     allow: tuple[str, ...] = ("127.0.0.0/8", "::1/128")
+    reach: tuple[str, ...] = ("127.0.0.0/8", "::1/128")  # networks that partners' addresses may lie in
     tls: Tls | None = None
     accounts: str = ""
     routing: Routing = Routing()
@@ -218,9 +219,10 @@
         if any(item.require != "none" for item in self.listen) and self.tls is None:
             raise ValueError("listen: what it requires needs tls")
         try:
+            Identity(self.reach, ())
             Identity(self.allow, [KnownClient(c.name, c.networks) for c in self.clients])
         except ValueError as error:
-            raise ValueError(f"allow, clients: {error}") from None
+            raise ValueError(f"allow, reach, clients: {error}") from None
         places = [(item.host, item.port) for item in self.listen if item.port]
         if len(set(places)) < len(places):
             raise ValueError("listen: one address is given twice")
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -109,7 +109,7 @@
         clock: Clock,
         now_us: Callable[[], int],
         pool: Pool,
-        places: Callable[[str], Place | None],
+        places: Callable[[str], Sequence[Place]],
         subscribe: Callable[[], None],
         log: Logger,
         crashed: Callable[[Exception], None],
@@ -271,9 +271,9 @@
         held = self._held[action.message]
         number, held.attempts = held.attempts, held.attempts + 1
         held.out += 1
-        place = self.places(action.target)
+        places = self.places(action.target)
         slots_full = self._calls >= self.settings.slots
-        if place is None or held.over or slots_full:
+        if not places or held.over or slots_full:
             self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
             outcome = Outcome(hb.Status.NOT_SENT, True, why="no slot" if slots_full else "no address")
             self._ended(held, number, action.target, self._now_us(), slots_full, outcome)
@@ -289,7 +289,7 @@
             timeout_us=action.timeout_us,
         )
         began = self._now_us()
-        call = self.pool.call(action.target, place, held.submission.parcel, action.timeout_us)
+        call = self.pool.call(action.target, places, held.submission.parcel, action.timeout_us)
         call.addCallback(self._called, held, number, action.target, began)
         call.addErrback(self._bug, held, number, action.target, began)
 
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,17 +18,12 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import mail
+from honeybarrow.addresses import Address, Addresses
 from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
+from honeybarrow.interface import Status
 from honeybarrow.seams import Clock, Delayed, Network
 
-
-@dataclass(frozen=True, slots=True)
-class Place:
-    """An address of an endpoint."""
-
-    host: str
-    port: int
-    lmtp: bool = False
+Place = Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +49,13 @@
 
     transport: Any = None
 
-    def __init__(self, pool: Pool, target: str, place: Place) -> None:
+    def __init__(self, pool: Pool, target: str, place: Address) -> None:
         self.pool, self.target, self.place = pool, target, place
         self.session = mail.ClientSession(pool.name, place.lmtp)
         self.call: _Call | None = None
         self.ready = False
         self.served = 0
+        self.began = pool.clock.seconds()
         self.idle_timer: Delayed | None = None
         self.closing = False
 
@@ -67,6 +64,8 @@
             self.close(abort=True)
 
     def dataReceived(self, data: bytes) -> None:
+        if not self.ready and self.call is not None and not self.call.chosen(self):
+            return  # another address greeted first; nothing was written here
         for event in self.session.receive(data):
             self._event(event)
         self.flush()
@@ -87,8 +86,10 @@
             case mail.Cleared():
                 self._settle()
             case mail.Refused(reply):
-                self._end(of_greeting(reply))
+                call, self.call = self.call, None
                 self.close()
+                if call is not None:
+                    call.refused(self, reply)
             case mail.Leaving() | mail.Broken():
                 why = event.reason if isinstance(event, mail.Broken) else "partner closes"
                 self._lost(why)
@@ -146,18 +147,27 @@
 
 
 class _Call:
-    """One call: from the pool's promise to its one outcome."""
+    """One call: from the pool's promise to its one outcome.
 
-    def __init__(self, pool: Pool, target: str, place: Place, parcel: Parcel, timeout_s: float) -> None:
-        self.pool, self.target, self.place, self.parcel = pool, target, place, parcel
+    Until a server greets, several of the endpoint's addresses may be tried, as ``honeybarrow.addresses``
+    says; the one that greets first carries the call, and nothing is written to the others.
+    """
+
+    def __init__(
+        self, pool: Pool, target: str, places: Sequence[Address], parcel: Parcel, timeout_s: float
+    ) -> None:
+        self.pool, self.target, self.places, self.parcel = pool, target, places, parcel
         self.done: Deferred[Outcome] = Deferred()
         self.connection: Connection | None = None
+        self.pending: list[Connection] = []  # connects that nobody has greeted yet
+        self.left: list[Address] = []  # addresses that were not tried yet
         self.started = False
         self.ended = False
         clock = pool.clock
         self.until = clock.seconds() + timeout_s
         self.timer: Delayed = clock.callLater(max(0.0, timeout_s), self._late)
         self.connect_timer: Delayed | None = None
+        self.stagger: Delayed | None = None
 
     def begin(self, kept: Connection | None) -> None:
         if kept is not None:
@@ -165,14 +175,86 @@
             self.start(kept)
             kept.flush()
             return
-        self.connection = self.pool.open(self.target, self.place, self)
-        if not self.ended:
-            limit = self.pool.limits.connect_timeout_s
-            self.connect_timer = self.pool.clock.callLater(limit, self._not_connected)
+        book, now = self.pool.book, self.pool.now_us()
+        self.left = [choice.address for choice in book.order(now, self.places)]
+        limit = self.pool.limits.connect_timeout_s
+        self.connect_timer = self.pool.clock.callLater(limit, self._not_connected)
+        self._connect()
+
+    def _connect(self) -> None:
+        """Begin one more connect, if there is an address left."""
+        if self.ended or self.connection is not None or not self.left:
+            return
+        address = self.left.pop(0)
+        connection = self.pool.open(self.target, address, self)
+        if self.ended or connection.closing:
+            return  # refused on the spot
+        delay = self.pool.book.delay_us(self.pool.now_us(), address) / 1e6
+        if not self.pool.book.may_race(self.pool.last_ok.get(self.target, True), len(self.pending)):
+            # alone, it has its part of the time, and is then given up for the next
+            delay = self.pool.limits.connect_timeout_s / (len(self.places) or 1)
+        self._set_stagger(delay)
+
+    def _further(self) -> None:
+        """The present connects take long: another one beside them, or in their place."""
+        self.stagger = None
+        if not self.left or self.connection is not None:
+            return
+        if not self.pool.book.may_race(self.pool.last_ok.get(self.target, True), len(self.pending)):
+            for connection in list(self.pending):
+                self._give_up(connection)
+        self._connect()
+
+    def _give_up(self, connection: Connection) -> None:
+        self.pending.remove(connection)
+        self.pool.book.failed(self.pool.now_us(), connection.place)
+        connection.call = None
+        connection.close(abort=True)
+
+    def _set_stagger(self, delay: float | None) -> None:
+        if self.stagger is not None and self.stagger.active():
+            self.stagger.cancel()
+        self.stagger = None if delay is None else self.pool.clock.callLater(delay, self._further)
+
+    def chosen(self, connection: Connection) -> bool:
+        """A server wrote its first octets: whether this connection carries the call."""
+        if self.connection is None:
+            self.connection = connection
+            self._set_stagger(None)
+            for other in list(self.pending):
+                if other is not connection:
+                    self.pending.remove(other)
+                    other.call = None
+                    other.close(abort=True)
+        return self.connection is connection
+
+    def refused(self, connection: Connection, reply: mail.Reply) -> None:
+        """The session was refused: a told wait binds the whole endpoint, else another address is tried."""
+        outcome = of_greeting(reply)
+        if outcome.wait_us or not self._next(connection):
+            self.end(outcome)
+
+    def _next(self, connection: Connection) -> bool:
+        """This connection comes to nothing; whether another one is under way in its place."""
+        self.pool.book.failed(self.pool.now_us(), connection.place)
+        if connection in self.pending:
+            self.pending.remove(connection)
+        if connection is self.connection:
+            self.connection = None
+        if self.ended or not (self.left or self.pending):
+            return False
+        if not self.pending or self.pool.book.may_race(
+            self.pool.last_ok.get(self.target, True), len(self.pending)
+        ):
+            self._connect()
+        return True
 
     def start(self, connection: Connection) -> None:
         """The session is ready: write the transaction."""
         self._cancel_connect()
+        if not self.started and connection.served == 0:
+            took = int((self.pool.clock.seconds() - connection.began) * 1e6)
+            self.pool.book.connected(self.pool.now_us(), connection.place, took)
         self.started = True
         left = int(self.until - self.pool.clock.seconds()) + 1
         parcel = self.parcel
@@ -180,6 +262,8 @@
 
     def lost(self, connection: Connection, why: str) -> None:
         committed = connection.session.committed and self.started
+        if not self.started and self._next(connection):
+            return
         self.end(of_loss(self.started, committed, why))
 
     def end(self, outcome: Outcome) -> None:
@@ -187,6 +271,7 @@
             return
         self.ended = True
         self._cancel_connect()
+        self.pool.last_ok[self.target] = outcome.status in (Status.OK, Status.REJECTED)
         if self.timer.active():
             self.timer.cancel()
         self.done.callback(outcome)
@@ -195,6 +280,7 @@
         if self.connect_timer is not None and self.connect_timer.active():
             self.connect_timer.cancel()
         self.connect_timer = None
+        self._set_stagger(None)
 
     def _not_connected(self) -> None:
         self.connect_timer = None
@@ -208,10 +294,15 @@
     def _cut(self, outcome: Outcome) -> None:
         # Danger: the reply to this call may still come; on a connection used again it would be taken
         # for the next call's. So the connection goes with the call.
-        connection = self.connection
-        if connection is not None:
-            connection.call = None
-            connection.close(abort=True)
+        self.left = []
+        for connection in list(self.pending):
+            if connection is not self.connection:
+                self._give_up(connection)
+        if self.connection is not None:
+            if not self.started:
+                self.pool.book.failed(self.pool.now_us(), self.connection.place)
+            self.connection.call = None
+            self.connection.close(abort=True)
         self.end(outcome)
 
 
@@ -225,30 +316,43 @@
         name: str,
         limits: PoolLimits,
         opened: Callable[[str], None] = lambda target: None,
+        book: Addresses | None = None,
     ) -> None:
         self.reactor, self.clock, self.name, self.limits = reactor, clock, name, limits
         self.opened = opened
+        self.book = book or Addresses(random.Random(1))
+        self.last_ok: dict[str, bool] = {}  # whether the last call to a target got its answer
         self.idle: dict[str, list[Connection]] = {}
 
-    def call(self, target: str, place: Place, parcel: Parcel, timeout_us: int) -> Deferred[Outcome]:
+    def now_us(self) -> int:
+        """The clock in microseconds."""
+        return int(self.clock.seconds() * 1e6)
+
+    def call(
+        self, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int
+    ) -> Deferred[Outcome]:
         """Carry a parcel to an endpoint; its outcome, exactly one, within the time-out."""
-        call = _Call(self, target, place, parcel, timeout_us / 1e6)
-        call.begin(self._take_idle(target, place))
+        call = _Call(self, target, places, parcel, timeout_us / 1e6)
+        call.begin(self._take_idle(target, places))
         return call.done
 
-    def _take_idle(self, target: str, place: Place) -> Connection | None:
+    def _take_idle(self, target: str, places: Sequence[Address]) -> Connection | None:
         for connection in reversed(self.idle.get(target, [])):
-            if connection.place == place and connection.session.phase is mail.Phase.IDLE:
+            if connection.place in places and connection.session.phase is mail.Phase.IDLE:
                 self.forget(connection)
                 return connection
         return None
 
-    def open(self, target: str, place: Place, call: _Call) -> Connection:
+    def open(self, target: str, place: Address, call: _Call) -> Connection:
         connection = Connection(self, target, place)
         connection.call = call
         self.opened(target)
         timeout = self.limits.connect_timeout_s
-        self.reactor.connectTCP(place.host, place.port, _Factory(connection), timeout=timeout + 1)
+        call.pending.append(connection)
+        if place.path:
+            self.reactor.connectUNIX(place.path, _Factory(connection), timeout=timeout + 1)
+        else:
+            self.reactor.connectTCP(place.host, place.port, _Factory(connection), timeout=timeout + 1)
         return connection
 
     def keep(self, connection: Connection) -> None:
--- a/honeybarrow/intake.py
+++ b/honeybarrow/intake.py
@@ -55,6 +55,8 @@
         return self.has.get(user, 0) + amount <= max(1.0, share)
 
     def take(self, user: str, amount: int = 1) -> None:
+        if not amount:
+            return
         self.used += amount
         self.has[user] = self.has.get(user, 0) + amount
 
--- a/honeybarrow/register/schema.py
+++ b/honeybarrow/register/schema.py
@@ -19,11 +19,20 @@
 
 
 class Address(Strict, frozen=True):
-    """Where an endpoint listens."""
+    """Where an endpoint listens: literal address and port, or the path of a Unix socket.
 
-    host: Annotated[str, Meta(min_length=1, max_length=255)]
-    port: Annotated[int, Meta(ge=1, le=65535)]
+    All addresses of an endpoint lead to the same partner; lower priorities are tried first.
+    """
+
+    host: Annotated[str, Meta(max_length=255)] = ""
+    port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    path: Annotated[str, Meta(max_length=100)] = ""
     protocol: Literal["smtp", "lmtp"] = "smtp"
+    priority: Annotated[int, Meta(ge=0, le=65535)] = 0
+
+    def __post_init__(self) -> None:
+        if bool(self.path) == bool(self.host) or bool(self.host) != bool(self.port):
+            raise ValueError("an address has a host and a port, or a path")
 
 
 class Partner(Strict, frozen=True):
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -15,6 +15,7 @@
 from twisted.web.server import Site
 
 from honeybarrow import mail
+from honeybarrow.addresses import Addresses
 from honeybarrow.again import Again
 from honeybarrow.config.schema import Forwarder as Settings
 from honeybarrow.forward import Forwarder, Place, Pool, PoolLimits
@@ -67,7 +68,8 @@
         self._count = 0
         pool, fronts = settings.pool, settings.fronts
         limits = PoolLimits(pool.idle_per_endpoint, pool.connect_timeout / 1e6, pool.idle / 1e6)
-        self.pool = Pool(reactor, reactor, settings.name, limits)
+        self.reach = Identity(settings.reach, ())
+        self.pool = Pool(reactor, reactor, settings.name, limits, book=Addresses(random.Random(seed)))
         self.directory = Directory()
         self.forwarder = Forwarder(
             settings.settings(),
@@ -212,12 +214,15 @@
     def _subscribe(self) -> None:
         self.register.subscribe()
 
-    def _place(self, target: str) -> Place | None:
-        addresses = self.directory.addresses(target)
-        if not addresses:
-            return None
-        first = addresses[0]
-        return Place(first.host, first.port, first.protocol == "lmtp")
+    def _place(self, target: str) -> list[Place]:
+        """Where an endpoint listens, less what lies outside the networks that partners may name."""
+        found = []
+        for row in self.directory.addresses(target):
+            if row.path or self.reach.may_connect(row.host):
+                found.append(Place(row.host, row.port, row.protocol == "lmtp", row.path, row.priority))
+            else:
+                self.log.warning("address out of reach", target=target, address=f"{row.host}:{row.port}")
+        return found
 
     def _new_id(self) -> str:
         self._count += 1
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -89,9 +89,9 @@
     def answer(self: Any, held: Any, final: Any) -> None:
         old(self, held, final)
         target = next(iter(self.sender.endpoints), None)
-        place = self.places(target) if target else None
-        if place is not None:
-            reactor.callLater(0.4, self.pool.call, target, place, held.submission.parcel, 1_000_000)
+        places = self.places(target) if target else []
+        if places:
+            reactor.callLater(0.4, self.pool.call, target, places, held.submission.parcel, 1_000_000)
 
     return answer
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -23,7 +23,7 @@
 
 
 def call(the_pool: Pool, port: int, timeout_us: int = 600_000, lmtp: bool = False) -> Outcome:
-    outcome = in_reactor(the_pool.call, "t", Place("127.0.0.1", port, lmtp), PARCEL, timeout_us)
+    outcome = in_reactor(the_pool.call, "t", [Place("127.0.0.1", port, lmtp)], PARCEL, timeout_us)
     assert isinstance(outcome, Outcome)
     return outcome
 
@@ -218,7 +218,7 @@
     def five() -> Any:
         from twisted.internet.defer import DeferredList
 
-        return DeferredList([the_pool.call("t", place, PARCEL, 2_000_000) for _ in range(5)])
+        return DeferredList([the_pool.call("t", [place], PARCEL, 2_000_000) for _ in range(5)])
 
     assert [outcome.status for _, outcome in in_reactor(five)] == [Status.OK] * 5
     assert len(the_pool.idle["t"]) == 2
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -94,3 +94,19 @@
     result = runner.invoke(main, ["check", str(tmp_path / "none.star")])
     assert result.exit_code == 2 and "No such file" in result.output
     assert "bad-day" in runner.invoke(main, ["rehearse", "--list"]).output
+
+
+def test_the_command_tells_the_order_of_addresses(tmp_path: Path) -> None:
+    path = tmp_path / "list.json"
+    addresses = '[{"host":"127.0.0.1","port":25},{"host":"::1","port":25,"priority":1},{"path":"p.sock"}]'
+    path.write_text(
+        '{"kind":"full","version":3,"partners":[{"number":1,"name":"a.example"}],"endpoints":'
+        f'[{{"target":"t","destination":1,"state":"ready","addresses":{addresses}}}]}}'
+    )
+    result = CliRunner().invoke(main, ["addresses", str(path)])
+    assert result.exit_code == 0
+    lines = [line.split(" ")[3] for line in result.output.splitlines()[1:]]
+    assert lines == ["unix:p.sock", "127.0.0.1:25", "[::1]:25"]
+    path.write_text('{"kind":"full","version":3,"endpoints":[{"target":7}]}')
+    result = CliRunner().invoke(main, ["addresses", str(path)])
+    assert result.exit_code == 2 and "malformed list" in result.output
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.calls: list[tuple[str, Deferred[Outcome]]] = []
 
-    def call(self, target: str, place: Place, parcel: Parcel, timeout_us: int) -> Deferred[Outcome]:
+    def call(self, target: str, places: list[Place], parcel: Parcel, timeout_us: int) -> Deferred[Outcome]:
         done: Deferred[Outcome] = Deferred()
         self.calls.append((target, done))
         return done
@@ -45,7 +45,7 @@
             self.clock,
             lambda: 10_000_000 + int(self.clock.seconds() * 1e6) + self.step_us,
             pool,
-            lambda target: Place("127.0.0.1", 1),
+            lambda target: [Place("127.0.0.1", 1)],
             lambda: None,
             Quiet(),
             self.crashes.append,
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -212,6 +212,12 @@
     assert desk.room.used == desk.sessions.used == desk.octets.used == desk.tenants.used == 0
 
 
+def test_nothing_taken_is_nothing_had() -> None:
+    shares = Shares(10)
+    shares.take("a", 0)
+    assert shares.has == {}
+
+
 def test_batch_times_and_time_left() -> None:
     assert intake.batch_times([9, 3, 5]) == [3, 3, 5]
     assert intake.time_left_us(100, None, None, 50) == 100
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -151,6 +151,8 @@
             factory.clientConnectionFailed(None, Failure(OSError("refused")))  # type: ignore[no-untyped-call]
             return type("Connector", (), {"state": "disconnected"})()
 
+        def connectUNIX(self, address: str, factory: Any, timeout: float = 30) -> Any: ...
+
         def listenTCP(self, *args: Any, **more: Any) -> Any: ...
 
     told: list[hb.MembershipNews] = []
