--- a/honeybarrow/rehearsal/play.py
+++ b/honeybarrow/rehearsal/play.py
@@ -80,9 +80,10 @@
             case "register_down":
                 self.register.set_down(True)
                 later(last, self.register.set_down, False)
-            case "register_bad":
-                self.register.bad = True
-                later(last, setattr, self.register, "bad", False)
+            case "register_bad" | "register_stale":
+                flag = trouble.kind.removeprefix("register_")
+                setattr(self.register, flag, True)
+                later(last, setattr, self.register, flag, False)
             case "drain" | "add":
                 state = "draining" if trouble.kind == "drain" else "ready"
                 for partner in self.scenario.partners:
--- a/honeybarrow/rehearsal/register.py
+++ b/honeybarrow/rehearsal/register.py
@@ -28,6 +28,7 @@
         self.lines: list[RegisterLine] = []
         self.down = False
         self.bad = False
+        self.stale = False  # it tells a list of long ago, as after it was restored from an old copy
 
     def list_partner(self, partner: Partner, ports: dict[str, int]) -> None:
         """Put a partner on the list, with the ports that its endpoints got."""
@@ -115,6 +116,11 @@
             register.book.note("register", "told badly", forwarder=self.name)
             self.transport.write(b'{"kind":"full","version":999999,"endpoints":[{"target":7}]}\n')
             return
+        if register.stale:
+            register.book.note("register", "told stale", forwarder=self.name)
+            old = News(kind="full", version=1, partners=tuple(register.partners[:1]))
+            self.transport.write(msgspec.json.encode(old) + b"\n")
+            return
         news = register.news(self.since)
         states = {row.target: row.state for row in news.endpoints}
         register.book.note("register", "told", forwarder=self.name, kind=news.kind, states=states)
--- a/honeybarrow/rehearsal/scenarios/bad-day.star
+++ b/honeybarrow/rehearsal/scenarios/bad-day.star
@@ -76,6 +76,8 @@
     trouble("add", at = "44s", who = "chain-2-a"),
     trouble("burst", at = "46s", last = "4s", who = "authorise", size = 2.5),
     trouble("register_bad", at = "48s", last = "3s"),
+    trouble("register_down", at = "54s", last = "1s"),
+    trouble("register_stale", at = "54500ms", last = "3s"),
     trouble("errors", at = "50s", last = "4s", who = "fleet-1.example", size = 0.6),
     trouble("throttle", at = "52s", last = "6s", who = "chain-1.example", size = 0.5),
     trouble("idle_drop", at = "56s", last = "1s", who = "chain-1.example"),
--- a/honeybarrow/rehearsal/schema.py
+++ b/honeybarrow/rehearsal/schema.py
@@ -95,6 +95,7 @@
     "add",
     "register_down",
     "register_bad",
+    "register_stale",
     "kill",
     "burst",
 ]
@@ -139,6 +140,7 @@
                 "burst": clients,
                 "register_down": {""},
                 "register_bad": {""},
+                "register_stale": {""},
                 "kill": None,
             }.get(trouble.kind, partners)
             if places is not None and trouble.who not in places:
