--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,6 +1,6 @@
 """What a decision costs: one Sender alone, simulated time, destinations that are silent, shut or failing.
 
-    python -m benchmarks.decisions [--against OLD_DECIDE.py] [--plot FILE] [--quick]
+    python -m benchmarks.decisions [--against OLD_DECIDE.py] [--quick]
 
 Prints us of CPU a message, the worst single batch, `_press` and `_choose` a message (counts that no machine
 changes), and bytes a destination and a message waiting. With --against the older module runs the same
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -190,7 +190,7 @@
         if self.ended or connection.closing:
             return  # refused on the spot
         delay = self.pool.book.delay_us(self.pool.now_us(), address) / 1e6
-        if not self.pool.book.may_race(self.pool.last_ok.get(self.target, True), len(self.pending)):
+        if not self._may_race():
             # alone, it has its part of the time, and is then given up for the next
             delay = self.pool.limits.connect_timeout_s / (len(self.places) or 1)
         self._set_stagger(delay)
@@ -200,11 +200,14 @@
         self.stagger = None
         if not self.left or self.connection is not None:
             return
-        if not self.pool.book.may_race(self.pool.last_ok.get(self.target, True), len(self.pending)):
+        if not self._may_race():
             for connection in list(self.pending):
                 self._give_up(connection)
         self._connect()
 
+    def _may_race(self) -> bool:
+        return self.pool.book.may_race(self.target not in self.pool.failed_last, len(self.pending))
+
     def _give_up(self, connection: Connection) -> None:
         self.pending.remove(connection)
         self.pool.book.failed(self.pool.now_us(), connection.place)
@@ -243,9 +246,7 @@
             self.connection = None
         if self.ended or not (self.left or self.pending):
             return False
-        if not self.pending or self.pool.book.may_race(
-            self.pool.last_ok.get(self.target, True), len(self.pending)
-        ):
+        if self._may_race():
             self._connect()
         return True
 
@@ -271,7 +272,10 @@
             return
         self.ended = True
         self._cancel_connect()
-        self.pool.last_ok[self.target] = outcome.status in (Status.OK, Status.REJECTED)
+        if outcome.status in (Status.OK, Status.REJECTED):
+            self.pool.failed_last.pop(self.target, None)
+        else:
+            self.pool.failed_last[self.target] = None
         if self.timer.active():
             self.timer.cancel()
         self.done.callback(outcome)
@@ -321,7 +325,7 @@
         self.reactor, self.clock, self.name, self.limits = reactor, clock, name, limits
         self.opened = opened
         self.book = book or Addresses(random.Random(1))
-        self.last_ok: dict[str, bool] = {}  # whether the last call to a target got its answer
+        self.failed_last: dict[str, None] = {}  # targets whose last call got no answer to its message
         self.idle: dict[str, list[Connection]] = {}
 
     def now_us(self) -> int:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -127,7 +127,7 @@
 
     partners = [four(counting) for _ in range(3)]
     the_pool = pool(0.6)
-    the_pool.last_ok["t"] = False
+    the_pool.failed_last["t"] = None
     outcome = call(the_pool, *[address for _, address in partners])
     assert (outcome.status, outcome.not_run) == (Status.CONNECT_FAILED, True)
     assert most == 1 and sum(len(partner.wires) for partner, _ in partners) >= 2
