--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -126,16 +126,25 @@
             self.children[name][1].signalProcess(signal_name)
 
 
-def play(file: Path, scenario: Rehearsal, forwarders: list[Forwarder], folder: Path | None) -> int:
-    """Play a scenario and print its report; the exit status."""
-    if folder is not None:
-        folder.mkdir(parents=True, exist_ok=True)
-        return _play(file, scenario, forwarders, folder, True)
+def play(
+    file: Path, scenario: Rehearsal, forwarders: list[Forwarder], report_file: Path | None, keep: Path | None
+) -> int:
+    """Play a scenario and print its report; the exit status. ``keep``: a folder for the logs of all sides."""
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return _play(file, scenario, forwarders, report_file, keep, True)
     with tempfile.TemporaryDirectory() as temporary:
-        return _play(file, scenario, forwarders, Path(temporary), False)
+        return _play(file, scenario, forwarders, report_file, Path(temporary), False)
 
 
-def _play(file: Path, scenario: Rehearsal, forwarders: list[Forwarder], folder: Path, keep: bool) -> int:
+def _play(
+    file: Path,
+    scenario: Rehearsal,
+    forwarders: list[Forwarder],
+    report_file: Path | None,
+    folder: Path,
+    keep: bool,
+) -> int:
     status = 1
     began = time.monotonic()
 
@@ -154,8 +163,9 @@
         nonlocal status
         text = report(verdict, scenario.name, scenario.seed)
         click.echo(text)
+        if report_file is not None:
+            report_file.write_text(text + "\n", encoding="utf-8")
         if keep:
-            (folder / "report.txt").write_text(text + "\n", encoding="utf-8")
             book.write(folder / "sockets.jsonl")
         status = 0 if verdict.kept else 1
 
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -182,8 +182,13 @@
 @click.argument("file", type=click.Path(path_type=Path), required=False)
 @click.option("--list", "listing", is_flag=True, help="Name the scenarios that come with the program.")
 @click.option("--seed", type=int, default=None, help="Another seed than the scenario's.")
-@click.option("--report", type=click.Path(path_type=Path), default=None, help="Keep report and logs there.")
-def rehearse(file: Path | None, listing: bool, seed: int | None, report: Path | None) -> None:
+@click.option(
+    "--report", type=click.Path(path_type=Path), default=None, help="Write the report to this file."
+)
+@click.option("--keep", type=click.Path(path_type=Path), default=None, help="Keep all logs in this folder.")
+def rehearse(
+    file: Path | None, listing: bool, seed: int | None, report: Path | None, keep: Path | None
+) -> None:
     """Play a scenario against forwarder processes and judge it; the bad day if no FILE is named."""
     own = sorted(SCENARIOS.glob("*.star"))
     if listing:
@@ -201,7 +206,7 @@
         scenario = msgspec.structs.replace(scenario, seed=seed)
     from honeybarrow.cli.launch import play
 
-    sys.exit(play(path, scenario, forwarders, report))
+    sys.exit(play(path, scenario, forwarders, report, keep))
 
 
 @main.command()
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -83,3 +83,13 @@
         [sys.executable, "-m", "honeybarrow", command, str(path)], capture_output=True, text=True, timeout=60
     )
     assert done.returncode == 2 and f"{path}:1: forwarder: " in done.stderr
+
+
+def test_a_rehearsal_with_a_process_of_its_own_is_judged_and_reported(tmp_path: Path) -> None:
+    report, keep = tmp_path / "report.txt", tmp_path / "logs"
+    command = [sys.executable, "-m", "honeybarrow", "rehearse", "calm"]
+    command += ["--seed", "2", "--report", str(report), "--keep", str(keep)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=90, cwd=ROOT)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert report.read_text().startswith("rehearsal calm, seed 2: all rules held")
+    assert {path.name for path in keep.iterdir()} == {"solo.log", "sockets.jsonl"}
