decide: of late messages sent together none is passed over

Cause: the messages of a destination for which it is nearly too late were walked in the very list that each send takes one out of, so after each send the next one was left for another event.

Change: they are walked in a list of their own.

The new test failed before.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -838,9 +838,11 @@
             first = bisect.bisect_left(line, late, key=lambda m: m.end_us)
             shares[share] = shares.get(share, False) or first > 0
             yield filter(self._in_turn, itertools.islice(line, first, None))
-        for share, some in shares.items():
-            if some:
-                yield (m for m in home.waiting if m.share == share and m.end_us < late and self._in_turn(m))
+        for share, late_ones in shares.items():
+            if late_ones:
+                # A list of its own: sends take out of what waits, and the next one would be passed over.
+                some = [m for m in home.waiting if m.share == share and m.end_us < late]
+                yield filter(self._in_turn, some)
 
     def _in_turn(self, message: Message) -> bool:
         """Due, and not behind another message of its key; bundles look for themselves."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -484,6 +484,15 @@
     assert it.sender._press(new) > it.sender._press(old)
 
 
+def test_of_late_messages_sent_together_none_is_passed_over() -> None:
+    """Each send took one out of the list that was being walked, and the next was left for another event."""
+    it = Caller(classes=(hb.MessageClass("note", 3 * SECOND, 16 * SECOND, late_share=0.4),), kinds=())
+    for n in range(3):
+        it.arrive(f"m{n}", left_us=800_000)
+    it.know("a:1")
+    assert [s.message for _, s in it.sends] == ["m0", "m1", "m2"]
+
+
 def test_a_call_to_a_cold_destination_gets_more_time() -> None:
     it = caller()
     endpoint = it.sender.endpoints["a:1"]
