decide: of equal worth the older message makes room first

Need: what is handed back when the room fills was found by sorting all that is held at every event. Kept in order of birth it is found at once, but equals then come in that order, no longer in the order of their arrival here.

Change: of equal worth the one born first goes.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -921,7 +921,8 @@
         if excess <= 0:
             return
         idle = [m for m in self.messages.values() if not m.over and not m.out and m.harmless]
-        idle.sort(key=lambda m: m.share * worth_at(m.kind, self.settings.fade, self.now - m.born_us))
+        fade = self.settings.fade  # of equal worth the older goes first: it has had its chances
+        idle.sort(key=lambda m: (m.share * worth_at(m.kind, fade, self.now - m.born_us), m.born_us))
         for message in idle[:excess]:
             self._answer(message)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -512,6 +512,15 @@
     assert all(isinstance(a, hb.HandBack) and a.pause_us > 0 for _, a in it.answers)
 
 
+def test_of_equal_worth_the_older_message_makes_room() -> None:
+    it = Caller(max_open=20)
+    for n in range(18):
+        it.arrive(f"m{n}")
+    it.arrive("older", left_us=15 * SECOND)
+    it.arrive("new")
+    assert [a.message for _, a in it.answers] == ["older"]
+
+
 def test_messages_for_one_endpoint_travel_in_one_call() -> None:
     it = Caller(slots=1)
     arrivals = [hb.MessageArrived(f"m{n}", "note", 1, 16 * SECOND) for n in range(6)]
