Addresses: one attempt's way to its endpoint decides connects and moves in a module of its own

Need: an attempt moved on only until the session was introduced; an address that lost each race was never remembered and cost the delay in every attempt; a partner could name any address within one set of networks; an address that moved to another endpoint kept its connections.

Change: reaching.py decides for one attempt, without I/O: staggered connects, two at most and one where the endpoint may be cold, time-outs of the steps before the end of data from what is left of the attempt's, moving on until then and never after. addresses.py learns connect and answer times, machines by list or greeting and what of a failure they share, weights, zones, rests, how long a partner keeps idle connections. territory.py says which addresses a partner may name. News closes idle connections and unfinished calls of addresses that are an endpoint's no longer.

--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -310,23 +310,40 @@
 
 @main.command("addresses")
 @click.argument("file", type=click.Path(path_type=Path))
-def addresses_(file: Path) -> None:
-    """Print for a saved list FILE which addresses of each endpoint are tried, in which order, and why."""
-    from honeybarrow.addresses import Address, Addresses
-    from honeybarrow.register import Directory, ListError
+@click.option("--settings", "script", type=click.Path(path_type=Path), help="a forwarder's settings")
+@name_option
+def addresses_(file: Path, script: Path | None, name: str) -> None:
+    """Print for a saved list FILE which addresses of each endpoint are tried, in which order, and why.
+
+    With --settings also which ones the forwarder would not go to, and the order that its zone gives.
+    """
+    from honeybarrow.addresses import Addresses
+    from honeybarrow.register import Directory, ListError, place_of
+    from honeybarrow.territory import Territory
 
     directory = Directory()
     try:
         directory.take(file.read_bytes(), saved=True)
     except (OSError, ListError) as error:
         fail(f"{file}: {error}", USAGE)
-    book = Addresses(random.Random(1))
+    settings = read_forwarder(script, name) if script else None
+    book = Addresses(random.Random(1), settings.zone if settings else "")
+    territory = (
+        Territory(settings.reach, settings.refused, settings.sockets, settings.share_networks)
+        if settings
+        else None
+    )
     for target, row in directory.rows.items():
         click.echo(f"{target} ({directory.partners[row.destination].name}, {row.state})")
-        found = [Address(a.host, a.port, a.protocol == "lmtp", a.path, a.priority) for a in row.addresses]
-        for place, choice in enumerate(book.order(0, found), start=1):
+        places = [place_of(address) for address in row.addresses]
+        whys = [territory.why_not(p, row.destination, directory.owned) if territory else "" for p in places]
+        able = [p for p, why in zip(places, whys, strict=True) if not why]
+        for number, choice in enumerate(book.order(0, able), start=1):
             protocol = "lmtp" if choice.address.lmtp else "smtp"
-            click.echo(f"  {place}. {choice.address} {protocol}: {choice.why}")
+            click.echo(f"  {number}. {choice.address} {protocol}: {choice.why}")
+        for place, why in zip(places, whys, strict=True):
+            if why:
+                click.echo(f"  -  {place}: not tried, {why}")
 
 
 @main.command("hash-password")
--- a/honeybarrow/config/schema.py
+++ b/honeybarrow/config/schema.py
@@ -13,6 +13,7 @@
 
 from honeybarrow import interface as hb
 from honeybarrow.identity import Identity, KnownClient
+from honeybarrow.territory import Territory
 
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Positive = Annotated[int, Meta(ge=1)]
@@ -190,6 +191,10 @@
     clients: tuple[ClientProgram, ...] = ()
     allow: tuple[str, ...] = ("127.0.0.0/8", "::1/128")
     reach: tuple[str, ...] = ("127.0.0.0/8", "::1/128")  # networks that partners' addresses may lie in
+    refused: tuple[str, ...] = ()  # and of them those that they may not
+    sockets: tuple[str, ...] = ("/tmp", "/run", "/var/run")  # directories that their Unix sockets may lie in
+    share_networks: bool = False  # whether a partner may have addresses in the networks of another
+    zone: str = ""  # the network zone of this forwarder: addresses there come first
     tls: Tls | None = None
     accounts: str = ""
     routing: Routing = Routing()
@@ -219,10 +224,10 @@
         if any(item.require != "none" for item in self.listen) and self.tls is None:
             raise ValueError("listen: what it requires needs tls")
         try:
-            Identity(self.reach, ())
+            Territory(self.reach, self.refused)
             Identity(self.allow, [KnownClient(c.name, c.networks) for c in self.clients])
         except ValueError as error:
-            raise ValueError(f"allow, reach, clients: {error}") from None
+            raise ValueError(f"allow, reach, refused, clients: {error}") from None
         places = [(item.host, item.port) for item in self.listen if item.port]
         if len(set(places)) < len(places):
             raise ValueError("listen: one address is given twice")
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -1,15 +1,16 @@
 """Connections to partner endpoints: opened as calls need them, reused, closed when idle.
 
-A call gets the idle connection that was used last, or a new one. It ends exactly once: by its reply,
-by the loss of its connection, or by its time-out. The pool tries nothing again, also not where a kept
-connection turns out to be closed: the end says that the call did not run, and the module decides. A
-call begun anew here could run into a wait that was told meanwhile.
+A call gets the idle connection that was used last, or a new one, of the endpoint's addresses as
+``honeybarrow.reaching`` says. It ends exactly once: by its reply, by the loss of its connection, or by its
+time-out. No address is tried twice in a call, also not where a kept connection turns out to be closed: the
+end says that the call did not run, and the module decides. A call begun anew here could run into a wait
+that was told meanwhile.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,9 +19,10 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import mail
-from honeybarrow.addresses import Address, Addresses
+from honeybarrow.addresses import Address, Addresses, Failing
 from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
 from honeybarrow.interface import Status
+from honeybarrow.reaching import NEVER, Close, Connect, Over, Reaching, Step, Why
 from honeybarrow.seams import Clock, Delayed, Network
 
 Place = Address
@@ -53,21 +55,25 @@
         self.pool, self.target, self.place = pool, target, place
         self.session = mail.ClientSession(pool.name, place.lmtp)
         self.call: _Call | None = None
-        self.ready = False
-        self.served = 0
-        self.began = pool.clock.seconds()
+        self.number = 0  # as the call's way to the endpoint names it
         self.idle_timer: Delayed | None = None
+        self.idle_since_us = 0
         self.closing = False
 
     def connectionMade(self) -> None:
         if self.call is None:  # its call ended while the connection came up
             self.close(abort=True)
+        else:
+            self.call.way.connected(self.number)
 
     def dataReceived(self, data: bytes) -> None:
-        if not self.ready and self.call is not None and not self.call.chosen(self):
+        call = self.call
+        if call is not None and not call.greeted(self, data):
             return  # another address greeted first; nothing was written here
         for event in self.session.receive(data):
             self._event(event)
+        if call is not None and self.call is call:
+            call.went_on(self)
         self.flush()
 
     def flush(self) -> None:
@@ -77,7 +83,6 @@
     def _event(self, event: Any) -> None:
         match event:
             case mail.Ready():
-                self.ready = True
                 if self.call is not None:
                     self.call.start(self)
             case mail.Answered(reply, phase):
@@ -93,12 +98,12 @@
             case mail.Leaving() | mail.Broken():
                 why = event.reason if isinstance(event, mail.Broken) else "partner closes"
                 self._lost(why)
+                self.pool.closed_by_partner(self)
                 self.close(abort=True)
 
     def _end(self, outcome: Outcome) -> None:
         call, self.call = self.call, None
         if call is not None:
-            self.served += 1
             call.end(outcome)
 
     def _settle(self) -> None:
@@ -114,6 +119,8 @@
             call.lost(self, why)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if not self.closing:
+            self.pool.closed_by_partner(self)
         self.pool.forget(self)
         self._lost(reason.getErrorMessage())
 
@@ -147,168 +154,156 @@
 
 
 class _Call:
-    """One call: from the pool's promise to its one outcome.
-
-    Until a server greets, several of the endpoint's addresses may be tried, as ``honeybarrow.addresses``
-    says; the one that greets first carries the call, and nothing is written to the others.
-    """
+    """One call: from the pool's promise to its one outcome. What to connect and close, its way says."""
 
     def __init__(
-        self, pool: Pool, target: str, places: Sequence[Address], parcel: Parcel, timeout_s: float
+        self, pool: Pool, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int
     ) -> None:
-        self.pool, self.target, self.places, self.parcel = pool, target, places, parcel
+        self.pool, self.target, self.parcel = pool, target, parcel
         self.done: Deferred[Outcome] = Deferred()
-        self.connection: Connection | None = None
-        self.pending: list[Connection] = []  # connects that nobody has greeted yet
-        self.left: list[Address] = []  # addresses that were not tried yet
-        self.started = False
+        now = pool.now_us()
+        self.until_us = now + max(0, timeout_us)
+        connect_us = int(pool.limits.connect_timeout_s * 1e6)
+        self.way = Reaching(pool.book, target, places, now, self.until_us, connect_us)
+        self.connections: dict[int, Connection] = {}
+        self.failure: Outcome | None = None  # of the connection that came to nothing last
+        self.started = False  # a transaction was
         self.ended = False
-        clock = pool.clock
-        self.until = clock.seconds() + timeout_s
-        self.timer: Delayed = clock.callLater(max(0.0, timeout_s), self._late)
-        self.connect_timer: Delayed | None = None
-        self.stagger: Delayed | None = None
+        self.timer: Delayed | None = None
+        self.due_us = -1  # what the timer is set to
 
     def begin(self, kept: Connection | None) -> None:
-        if kept is not None:
-            kept.call, self.connection = self, kept
-            self.start(kept)
-            kept.flush()
-            return
-        book, now = self.pool.book, self.pool.now_us()
-        self.left = [choice.address for choice in book.order(now, self.places)]
-        limit = self.pool.limits.connect_timeout_s
-        self.connect_timer = self.pool.clock.callLater(limit, self._not_connected)
-        self._connect()
-
-    def _connect(self) -> None:
-        """Begin one more connect, if there is an address left."""
-        if self.ended or self.connection is not None or not self.left:
+        if kept is None:
+            self._do(self.way.begin(self.pool.now_us()))
             return
-        address = self.left.pop(0)
-        connection = self.pool.open(self.target, address, self)
-        if self.ended or connection.closing:
-            return  # refused on the spot
-        delay = self.pool.book.delay_us(self.pool.now_us(), address) / 1e6
-        if not self._may_race():
-            # alone, it has its part of the time, and is then given up for the next
-            delay = self.pool.limits.connect_timeout_s / (len(self.places) or 1)
-        self._set_stagger(delay)
-
-    def _further(self) -> None:
-        """The present connects take long: another one beside them, or in their place."""
-        self.stagger = None
-        if not self.left or self.connection is not None:
+        now = self.pool.now_us()
+        self.pool.book.kept_idle(now, kept.place, now - kept.idle_since_us)
+        kept.call, kept.number = self, self.way.reuse(now, kept.place)
+        self.connections[kept.number] = kept
+        self._write(kept)
+        kept.flush()
+        self._do([])
+
+    def _do(self, steps: Sequence[Step]) -> None:
+        """Carry out what the way says, and be woken when it wants to be."""
+        for step in steps:
+            match step:
+                case Connect(number, address):
+                    begun = self.connections[number] = Connection(self.pool, self.target, address)
+                    begun.call, begun.number = self, number
+                    self.pool.connect(begun)
+                case Close(number):
+                    if (connection := self.connections.pop(number, None)) is not None:
+                        # Danger: the reply to this call may still come; on a connection used again it
+                        # would be taken for the next call's. So the connection goes with the call.
+                        connection.call = None
+                        connection.close(abort=True)
+                case Over(why):
+                    self._over(why)
+        if not self.ended:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        due = self.way.due_us
+        if due == self.due_us:
             return
-        if not self._may_race():
-            for connection in list(self.pending):
-                self._give_up(connection)
-        self._connect()
-
-    def _may_race(self) -> bool:
-        return self.pool.book.may_race(self.target not in self.pool.failed_last, len(self.pending))
-
-    def _give_up(self, connection: Connection) -> None:
-        self.pending.remove(connection)
-        self.pool.book.failed(self.pool.now_us(), connection.place)
-        connection.call = None
-        connection.close(abort=True)
-
-    def _set_stagger(self, delay: float | None) -> None:
-        if self.stagger is not None and self.stagger.active():
-            self.stagger.cancel()
-        self.stagger = None if delay is None else self.pool.clock.callLater(delay, self._further)
-
-    def chosen(self, connection: Connection) -> bool:
-        """A server wrote its first octets: whether this connection carries the call."""
-        if self.connection is None:
-            self.connection = connection
-            self._set_stagger(None)
-            for other in list(self.pending):
-                if other is not connection:
-                    self.pending.remove(other)
-                    other.call = None
-                    other.close(abort=True)
-        return self.connection is connection
+        self.due_us = due
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        wait = (due - self.pool.now_us()) / 1e6
+        self.timer = self.pool.clock.callLater(max(0.0, wait), self._wake) if due < NEVER else None
+
+    def _wake(self) -> None:
+        self.timer, self.due_us = None, -1
+        self._do(self.way.wake(self.pool.now_us()))
+
+    def _over(self, why: Why) -> None:
+        carrier = self.connections.get(self.way.carrier or 0)
+        committed = self.started and carrier is not None and carrier.session.committed
+        if why is Why.NO_ADDRESS and self.failure is not None:
+            self.end(self.failure)
+        elif why is Why.LATE:
+            self.end(of_timeout(self.started, committed))
+        else:
+            self.end(of_timeout(False, False))
 
-    def refused(self, connection: Connection, reply: mail.Reply) -> None:
-        """The session was refused: a told wait binds the whole endpoint, else another address is tried."""
-        outcome = of_greeting(reply)
-        if outcome.wait_us or not self._next(connection):
-            self.end(outcome)
-
-    def _next(self, connection: Connection) -> bool:
-        """This connection comes to nothing; whether another one is under way in its place."""
-        self.pool.book.failed(self.pool.now_us(), connection.place)
-        if connection in self.pending:
-            self.pending.remove(connection)
-        if connection is self.connection:
-            self.connection = None
-        if self.ended or not (self.left or self.pending):
-            return False
-        if self._may_race():
-            self._connect()
-        return True
+    def greeted(self, connection: Connection, data: bytes) -> bool:
+        """A server wrote: whether this connection carries the call."""
+        if connection.number == self.way.carrier:
+            return True
+        name = data[4:].split(b" ")[0].decode("ascii", "replace").strip() if data[:3] == b"220" else ""
+        self._do(self.way.greeted(self.pool.now_us(), connection.number, name[:255]))
+        return not self.ended and connection.number == self.way.carrier
 
     def start(self, connection: Connection) -> None:
         """The session is ready: write the transaction."""
-        self._cancel_connect()
-        if not self.started and connection.served == 0:
-            took = int((self.pool.clock.seconds() - connection.began) * 1e6)
-            self.pool.book.connected(self.pool.now_us(), connection.place, took)
+        self.way.ready(self.pool.now_us(), connection.number)
+        self._write(connection)
+
+    def _write(self, connection: Connection) -> None:
         self.started = True
-        left = int(self.until - self.pool.clock.seconds()) + 1
+        left = (self.until_us - self.pool.now_us()) // 1_000_000 + 1
         parcel = self.parcel
         connection.session.send(parcel.sender, parcel.recipient, parcel.content, left)
 
+    def went_on(self, connection: Connection) -> None:
+        """Replies came, and the call is not over."""
+        if self.started and connection.session.committed:
+            self.way.commit(self.pool.now_us())
+        else:
+            self.way.replied(self.pool.now_us(), connection.number)
+        if not self.ended:
+            self._set_timer()
+
+    def refused(self, connection: Connection, reply: mail.Reply) -> None:
+        """The session was refused: a told wait binds the whole endpoint, else another address is tried."""
+        self.failure = of_greeting(reply)
+        if self.failure.wait_us:
+            self.pool.book.failed(self.pool.now_us(), connection.place, Failing.TURNED_AWAY)
+            self.end(self.failure)
+        else:
+            self._failed(connection, Failing.TURNED_AWAY)
+
     def lost(self, connection: Connection, why: str) -> None:
         committed = connection.session.committed and self.started
-        if not self.started and self._next(connection):
-            return
-        self.end(of_loss(self.started, committed, why))
+        self.failure = of_loss(self.started, committed, why)
+        if committed and connection.number == self.way.carrier:
+            self.pool.book.failed(self.pool.now_us(), connection.place, Failing.DOUBT)
+            self.end(self.failure)
+        elif connection.number == self.way.carrier:
+            self._failed(connection, Failing.CUT)
+        else:
+            self._failed(connection, Failing.UNREACHABLE if connection.transport is None else Failing.CUT)
+
+    def _failed(self, connection: Connection, how: Failing) -> None:
+        self.connections.pop(connection.number, None)
+        self._do(self.way.failed(self.pool.now_us(), connection.number, how))
+
+    def listed(self, places: Sequence[Address]) -> None:
+        """The endpoint's addresses have changed."""
+        if not self.ended:
+            self.failure = of_loss(self.started, False, "the address is no longer the endpoint's")
+            self._do(self.way.listed(self.pool.now_us(), places))
 
     def end(self, outcome: Outcome) -> None:
         if self.ended:
             return
         self.ended = True
-        self._cancel_connect()
-        if outcome.status in (Status.OK, Status.REJECTED):
-            self.pool.failed_last.pop(self.target, None)
-        else:
-            self.pool.failed_last[self.target] = None
-        if self.timer.active():
+        if self.timer is not None and self.timer.active():
             self.timer.cancel()
+        if outcome.reply is not None:
+            self.way.answered(self.pool.now_us())
+        self._do(self.way.finish())
+        if outcome.status in (Status.TIMEOUT, Status.CONNECT_FAILED):
+            for connection in list(self.connections.values()):
+                connection.call = None
+                connection.close(abort=True)
+        self.connections.clear()
+        well = outcome.status in (Status.OK, Status.REJECTED)
+        self.pool.book.call_ended(self.pool.now_us(), self.target, well)
+        self.pool.ended(self)
         self.done.callback(outcome)
 
-    def _cancel_connect(self) -> None:
-        if self.connect_timer is not None and self.connect_timer.active():
-            self.connect_timer.cancel()
-        self.connect_timer = None
-        self._set_stagger(None)
-
-    def _not_connected(self) -> None:
-        self.connect_timer = None
-        self._cut(of_timeout(False, False))
-
-    def _late(self) -> None:
-        connection = self.connection
-        committed = self.started and connection is not None and connection.session.committed
-        self._cut(of_timeout(self.started, committed))
-
-    def _cut(self, outcome: Outcome) -> None:
-        # Danger: the reply to this call may still come; on a connection used again it would be taken
-        # for the next call's. So the connection goes with the call.
-        self.left = []
-        for connection in list(self.pending):
-            if connection is not self.connection:
-                self._give_up(connection)
-        if self.connection is not None:
-            if not self.started:
-                self.pool.book.failed(self.pool.now_us(), self.connection.place)
-            self.connection.call = None
-            self.connection.close(abort=True)
-        self.end(outcome)
-
 
 class Pool:
     """The connections of all endpoints. ``name`` is what EHLO says."""
@@ -325,7 +320,7 @@
         self.reactor, self.clock, self.name, self.limits = reactor, clock, name, limits
         self.opened = opened
         self.book = book or Addresses(random.Random(1))
-        self.failed_last: dict[str, None] = {}  # targets whose last call got no answer to its message
+        self.calls: dict[str, list[_Call]] = {}  # that are out, by target
         self.idle: dict[str, list[Connection]] = {}
 
     def now_us(self) -> int:
@@ -336,36 +331,75 @@
         self, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int
     ) -> Deferred[Outcome]:
         """Carry a parcel to an endpoint; its outcome, exactly one, within the time-out."""
-        call = _Call(self, target, places, parcel, timeout_us / 1e6)
+        call = _Call(self, target, places, parcel, timeout_us)
+        self.calls.setdefault(target, []).append(call)
         call.begin(self._take_idle(target, places))
         return call.done
 
+    def ended(self, call: _Call) -> None:
+        """A call has its outcome."""
+        calls = self.calls[call.target]
+        calls.remove(call)
+        if not calls:
+            del self.calls[call.target]
+
+    def listed(self, places: Mapping[str, Sequence[Address]]) -> None:
+        """These endpoints have these addresses now, none if they are gone: leave all others."""
+        for target, found in places.items():
+            spots = {place.spot: None for place in found}
+            for connection in list(self.idle.get(target, ())):
+                if connection.place.spot not in spots:
+                    connection.close()
+            for call in list(self.calls.get(target, ())):
+                call.listed(found)
+
     def _take_idle(self, target: str, places: Sequence[Address]) -> Connection | None:
+        """The connection used last, of an address that does not rest if there is one."""
+        now, found = self.now_us(), None
+        spots = {(place.spot, place.lmtp): None for place in places}
         for connection in reversed(self.idle.get(target, [])):
-            if connection.place in places and connection.session.phase is mail.Phase.IDLE:
-                self.forget(connection)
-                return connection
-        return None
-
-    def open(self, target: str, place: Address, call: _Call) -> Connection:
-        connection = Connection(self, target, place)
-        connection.call = call
-        self.opened(target)
-        timeout = self.limits.connect_timeout_s
-        call.pending.append(connection)
+            place = connection.place
+            if (place.spot, place.lmtp) in spots and connection.session.phase is mail.Phase.IDLE:
+                found = found or connection
+                if self.book.rests_until(now, place) <= now:
+                    found = connection
+                    break
+        if found is not None:
+            self.forget(found)
+        return found
+
+    def connect(self, connection: Connection) -> None:
+        """Begin a connect for a call."""
+        place = connection.place
+        self.opened(connection.target)
+        timeout = self.limits.connect_timeout_s + 1  # the call gives it up before
         if place.path:
-            self.reactor.connectUNIX(place.path, _Factory(connection), timeout=timeout + 1)
+            self.reactor.connectUNIX(place.path, _Factory(connection), timeout=timeout)
         else:
-            self.reactor.connectTCP(place.host, place.port, _Factory(connection), timeout=timeout + 1)
-        return connection
+            self.reactor.connectTCP(place.host, place.port, _Factory(connection), timeout=timeout)
 
     def keep(self, connection: Connection) -> None:
-        """A connection is idle: keep it for the next call, within the bounds."""
+        """A connection is idle: keep it for the next call, within the bounds, as long as its partner does."""
         kept = self.idle.setdefault(connection.target, [])
         kept.append(connection)
-        connection.idle_timer = self.clock.callLater(self.limits.idle_s, connection.close)
+        connection.idle_since_us = self.now_us()
+        idle_s = self.book.keep_us(connection.place, int(self.limits.idle_s * 1e6)) / 1e6
+        connection.idle_timer = self.clock.callLater(idle_s, self._idle_out, connection)
         if len(kept) > self.limits.idle_per_endpoint:
-            kept[0].close()
+            now = self.now_us()
+            resting = [each for each in kept if self.book.rests_until(now, each.place) > now]
+            (resting or kept)[0].close()
+
+    def _idle_out(self, connection: Connection) -> None:
+        now = self.now_us()
+        self.book.kept_idle(now, connection.place, now - connection.idle_since_us)
+        connection.close()
+
+    def closed_by_partner(self, connection: Connection) -> None:
+        """Learn how long a partner keeps what is idle, if this connection was."""
+        if connection in self.idle.get(connection.target, ()):
+            now = self.now_us()
+            self.book.closed_idle(now, connection.place, now - connection.idle_since_us)
 
     def forget(self, connection: Connection) -> None:
         """A connection is no longer idle."""
--- a/honeybarrow/observe.py
+++ b/honeybarrow/observe.py
@@ -107,6 +107,16 @@
             ["message_class"],
             **kept,
         )
+        self._reached = Counter(
+            "honeybarrow_address", "What came of partners' addresses", ["address", "how"], **kept
+        )
+        self._connects = Histogram(
+            "honeybarrow_connect_seconds",
+            "From connect to introduction",
+            ["address"],
+            buckets=SECONDS,
+            **kept,
+        )
         for name, (text, read) in gauges.items():
             Gauge(f"honeybarrow_{name}", text, registry=self.registry).set_function(read)
         # finding a child by its labels costs more than counting; there are few
@@ -124,6 +134,12 @@
         self._open[message] = (class_name, partner, left_us)
         self._child(self._taken, class_name).inc()
 
+    def reached(self, address: str, how: str, took_us: int) -> None:
+        """A connect to a partner's address succeeded, or the address failed; a series for each one listed."""
+        self._child(self._reached, address, how).inc()
+        if took_us:
+            self._child(self._connects, address).observe(took_us / 1e6)
+
     def attempt(self, message: str, number: int, target: str) -> None: ...
 
     def ended(self, message: str, number: int, status: str, took_us: int, why: str) -> None:
--- a/honeybarrow/register/__init__.py
+++ b/honeybarrow/register/__init__.py
@@ -2,7 +2,7 @@
 
 from honeybarrow.register.client import RegisterClient
 from honeybarrow.register.directory import Directory, ListError
-from honeybarrow.register.schema import LINE_LIMIT, Address, Ask, News, Partner, Row
+from honeybarrow.register.schema import LINE_LIMIT, Address, Ask, News, Partner, Row, place_of
 
 __all__ = [
     "LINE_LIMIT",
@@ -14,4 +14,5 @@
     "Partner",
     "RegisterClient",
     "Row",
+    "place_of",
 ]
--- a/honeybarrow/register/directory.py
+++ b/honeybarrow/register/directory.py
@@ -6,6 +6,7 @@
 
 from honeybarrow import interface as hb
 from honeybarrow.register.schema import LINE_LIMIT, Address, News, Partner, Row
+from honeybarrow.territory import Owned
 
 
 class ListError(ValueError):
@@ -19,6 +20,7 @@
         self.version = 0
         self.partners: dict[int, Partner] = {}
         self.rows: dict[str, Row] = {}
+        self.owned = Owned({})
         self._names: dict[str, int] = {}
 
     def number(self, name: str) -> int | None:
@@ -49,6 +51,10 @@
         partners = {} if full else dict(self.partners)
         for partner in news.partners:
             partners[partner.number] = partner
+        try:
+            owned = Owned({number: partner.networks for number, partner in partners.items()})
+        except ValueError as error:
+            raise ListError(str(error)) from None
         names = {partner.name: number for number, partner in partners.items()}
         if len(names) < len(partners):
             raise ListError("two partners have one name")
@@ -70,6 +76,7 @@
                 raise ListError(f"endpoint {row.target} has no address")
             rows[row.target] = row
         self.version, self.partners, self.rows, self._names = news.version, partners, rows, names
+        self.owned = owned
         kind = hb.ListKind.SAVED if saved else hb.ListKind.FULL if full else hb.ListKind.CHANGES
         return hb.MembershipNews(kind, news.version, tuple(self._entry(row) for row in news.endpoints))
 
--- a/honeybarrow/register/schema.py
+++ b/honeybarrow/register/schema.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Meta
 
+from honeybarrow.addresses import Address as Place
+
 LINE_LIMIT = 1 << 22  # octets of one line: some 20,000 endpoints
 
 
@@ -21,7 +23,9 @@
 class Address(Strict, frozen=True):
     """Where an endpoint listens: literal address and port, or the path of a Unix socket.
 
-    All addresses of an endpoint lead to the same partner; lower priorities are tried first.
+    All addresses of an endpoint lead to the same partner; lower priorities are tried first, and of one
+    priority those in the forwarder's ``zone``; ``weight`` shares the calls among the rest where weights
+    differ (RFC 2782). Addresses of one ``machine`` share its fate.
     """
 
     host: Annotated[str, Meta(max_length=255)] = ""
@@ -29,18 +33,31 @@
     path: Annotated[str, Meta(max_length=100)] = ""
     protocol: Literal["smtp", "lmtp"] = "smtp"
     priority: Annotated[int, Meta(ge=0, le=65535)] = 0
+    weight: Annotated[int, Meta(ge=0, le=65535)] = 1
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    machine: Annotated[str, Meta(max_length=64)] = ""
 
     def __post_init__(self) -> None:
         if bool(self.path) == bool(self.host) or bool(self.host) != bool(self.port):
             raise ValueError("an address has a host and a port, or a path")
 
 
+def place_of(row: Address) -> Place:
+    """An address as the pool takes it."""
+    lmtp = row.protocol == "lmtp"
+    return Place(row.host, row.port, lmtp, row.path, row.priority, row.weight, row.zone, row.machine)
+
+
 class Partner(Strict, frozen=True):
-    """A destination: its number, the domain that recipients name, its kind."""
+    """A destination: its number, the domain that recipients name, its kind.
+
+    ``networks``, if given, are its own: its endpoints lie there, and no other partner's may.
+    """
 
     number: Annotated[int, Meta(ge=0)]
     name: Annotated[str, Meta(min_length=1, max_length=255, pattern=r"^[a-z0-9.-]+$")]
     kind: str = ""
+    networks: Annotated[tuple[str, ...], Meta(max_length=64)] = ()
 
 
 class Row(Strict, frozen=True):
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -22,9 +22,11 @@
 from honeybarrow.front import Desk, FrontFactory, FrontLimits, Mapper, Reception, Rules
 from honeybarrow.identity import Identity, KnownClient
 from honeybarrow.intake import Intake, IntakeLimits
+from honeybarrow.interface import MembershipNews
 from honeybarrow.observe import Both, Metrics, Nobody, Observer
-from honeybarrow.register import Directory, ListError, News, RegisterClient
+from honeybarrow.register import Directory, ListError, News, RegisterClient, place_of
 from honeybarrow.seams import Logger, Reactor
+from honeybarrow.territory import Territory
 
 EMPTY = News(kind="full", version=0)
 
@@ -68,8 +70,13 @@
         self._count = 0
         pool, fronts = settings.pool, settings.fronts
         limits = PoolLimits(pool.idle_per_endpoint, pool.connect_timeout / 1e6, pool.idle / 1e6)
-        self.reach = Identity(settings.reach, ())
-        self.pool = Pool(reactor, reactor, settings.name, limits, book=Addresses(random.Random(seed)))
+        self.territory = Territory(
+            settings.reach, settings.refused, settings.sockets, settings.share_networks
+        )
+        self.book = Addresses(random.Random(seed), settings.zone, settings.rules.cold, self._heard)
+        self.pool = Pool(reactor, reactor, settings.name, limits, book=self.book)
+        self._places: dict[str, list[Place]] = {}  # where endpoints listen, looked up since the last news
+        self._refused_places: dict[tuple[str, str], None] = {}
         self.directory = Directory()
         self.forwarder = Forwarder(
             settings.settings(),
@@ -92,7 +99,7 @@
             place,
             timeout,
             self.directory,
-            self.forwarder.news,
+            self._news,
             save_list,
             log,
             settings.name,
@@ -162,7 +169,7 @@
             self.ports.append(self.reactor.listenTCP(listen.port, factory, interface=listen.host))
         if news is None:
             news = self.directory.apply(EMPTY, saved=True)
-        self.forwarder.news(news)
+        self._news(news)
         if self.metrics is not None:
             site = Site(Scrape(self.metrics))  # type: ignore[no-untyped-call]
             port = self.settings.observe.metrics_port
@@ -214,16 +221,43 @@
     def _subscribe(self) -> None:
         self.register.subscribe()
 
+    def _news(self, news: MembershipNews) -> None:
+        """The list has changed: addresses that are an endpoint's no longer are left before any send."""
+        before, self._places = self._places, {}
+        for target in dict.fromkeys([*before, *self.pool.idle, *self.pool.calls]):
+            places = self._place(target)
+            kept = {place.spot: None for place in places}
+            for place in before.get(target, ()):
+                if place.spot not in kept:
+                    self.book.forget(place)
+                    self.log.info("address gone", target=target, address=str(place))
+            self.pool.listed({target: places})
+        self.forwarder.news(news)
+
     def _place(self, target: str) -> list[Place]:
-        """Where an endpoint listens, less what lies outside the networks that partners may name."""
+        """Where an endpoint listens, less what its partner may not name."""
+        if (known := self._places.get(target)) is not None:
+            return known
         found = []
-        for row in self.directory.addresses(target):
-            if row.path or self.reach.may_connect(row.host):
-                found.append(Place(row.host, row.port, row.protocol == "lmtp", row.path, row.priority))
-            else:
-                self.log.warning("address out of reach", target=target, address=f"{row.host}:{row.port}")
+        row = self.directory.rows.get(target)
+        for place in map(place_of, row.addresses if row else ()):
+            why = self.territory.why_not(place, row.destination, self.directory.owned) if row else ""
+            if not why:
+                found.append(place)
+            elif (target, str(place)) not in self._refused_places:
+                self._refused_places[target, str(place)] = None
+                self.log.warning("address out of reach", target=target, address=str(place), why=why)
+        if row is not None:
+            self._places[target] = found
         return found
 
+    def _heard(self, place: Place, how: str, took_us: int) -> None:
+        """What came of an address."""
+        if how != "connected":
+            self.log.info("address failed", address=str(place), how=how)
+        if self.metrics is not None:
+            self.metrics.reached(str(place), how, took_us)
+
     def _new_id(self) -> str:
         self._count += 1
         return f"{self.settings.name}-{self.boot}-{self._count}"
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from honeybarrow import addresses
-from honeybarrow.addresses import SECOND, Address, Addresses
+from honeybarrow.addresses import SECOND, Address, Addresses, Failing
 
 SIX, FOUR, OTHER = Address("::1", 25), Address("127.0.0.1", 25), Address("127.0.0.2", 25)
 UNIX = Address(path="partner.sock")
@@ -46,23 +46,69 @@
     for _ in range(12):
         book.failed(now, SIX)
         assert names(book, now, SIX, FOUR) == [FOUR, SIX]
-        rests.append(book._known[SIX].rest_us - now)
-        now = book._known[SIX].rest_us + 1
+        rests.append(book._known[SIX.spot].rest_us - now)
+        now = book._known[SIX.spot].rest_us + 1
         assert names(book, now, SIX, FOUR) == [SIX, FOUR]
     assert rests[:7] == sorted(rests[:7])
     assert max(rests) <= addresses.REST_MOST_US * 1.25
     book.connected(now, SIX, 1000)
     book.failed(now, SIX)
-    assert book._known[SIX].rest_us - now < SECOND
+    assert book._known[SIX.spot].rest_us - now < SECOND
     book.failed(now, FOUR)
     assert set(names(book, now, SIX, FOUR)) == {SIX, FOUR}  # all rest: the one that is soonest over, first
     assert names(book, now + addresses.FORGET_US + 1, SIX, FOUR) == [SIX, FOUR]
 
 
-def test_no_second_connect_beside_one_that_is_pending_where_a_call_failed() -> None:
+def test_no_connect_to_spare_for_the_cold_time_after_a_failed_call() -> None:
+    book = Addresses(random.Random(1), calm_us=9 * SECOND)
+    assert book.calm(0, "t")
+    book.call_ended(SECOND, "t", False)
+    book.call_ended(2 * SECOND, "t", True)  # it answers again, but it may be cold
+    assert not book.calm(9 * SECOND, "t") and book.calm(9 * SECOND, "other")
+    assert book.calm(10 * SECOND, "t")
+
+
+def test_a_machine_that_hangs_takes_its_other_addresses_along_and_a_lost_way_does_not() -> None:
+    one, two, other = (Address("127.0.0.1", port, machine=m) for port, m in ((1, "a"), (2, "a"), (3, "b")))
+    book = Addresses(random.Random(1))
+    book.failed(0, one, Failing.UNREACHABLE)
+    assert names(book, 0, one, two, other) == [two, other, one]
+    book = Addresses(random.Random(1))
+    book.failed(0, one, Failing.HUNG)
+    assert names(book, 0, one, two, other) == [other, two, one]
+    assert "its machine a failed" in book.order(0, [one, two, other])[1].why
+    book.connected(0, two, 1000)  # it answers again
+    assert names(book, 0, one, two, other)[-1] == one and book.rests_until(0, two) == 0
+
+
+def test_a_greeting_tells_the_machine_for_one_endpoint_only() -> None:
+    book = Addresses(random.Random(1))
+    for address, target in ((SIX, "t"), (FOUR, "t"), (OTHER, "u")):
+        book.greeted(0, address, target, "localhost")
+    book.failed(0, SIX, Failing.HUNG)
+    assert book.rests_until(0, FOUR) > 0 and book.rests_until(0, OTHER) == 0
+
+
+def test_weights_share_calls_and_the_own_zone_comes_first() -> None:
+    heavy, light, far = (
+        Address("127.0.0.1", port, weight=w, zone=z) for port, w, z in ((1, 3, ""), (2, 1, "n"), (3, 9, "s"))
+    )
+    book = Addresses(random.Random(1), zone="n")
+    firsts = [names(book, 0, far, light, heavy) for _ in range(400)]
+    assert all(order[-1] == far for order in firsts)
+    assert 240 < sum(order[0] == heavy for order in firsts) < 360
+
+
+def test_an_idle_connection_is_kept_for_less_than_its_partner_keeps_it() -> None:
     book = Addresses(random.Random(1))
-    assert book.may_race(True, 0) and book.may_race(True, 1) and not book.may_race(True, 2)
-    assert book.may_race(False, 0) and not book.may_race(False, 1)
+    assert book.keep_us(FOUR, 10 * SECOND) == 10 * SECOND
+    book.closed_idle(0, FOUR, 2 * SECOND)
+    assert book.keep_us(FOUR, 10 * SECOND) == 1_600_000
+    kept = [book.keep_us(FOUR, 10 * SECOND)]
+    for _ in range(20):
+        book.kept_idle(0, FOUR, kept[-1])
+        kept.append(book.keep_us(FOUR, 10 * SECOND))
+    assert kept == sorted(kept) and kept[-1] == 10 * SECOND
 
 
 ADDRESS = st.sampled_from([SIX, FOUR, OTHER, UNIX, Address("::2", 26, priority=1)])
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -10,11 +10,13 @@
 from collections.abc import Callable
 from pathlib import Path as File
 
+import pytest
+
 from honeybarrow.addresses import Address
 from honeybarrow.forward import Outcome, Parcel, Pool, PoolLimits
 from honeybarrow.interface import Status
 from honeybarrow.mail import Path
-from tests.live import ScriptedPartner, Wire, always, in_reactor, reactor
+from tests.live import ScriptedPartner, Wire, always, in_reactor, reactor, until
 
 PARCEL = Parcel(Path("a", "c.example"), Path("pay", "p.example"), b"Subject: x\r\n\r\nhello\r\n")
 
@@ -110,6 +112,69 @@
     assert len(hung.wires) == 1 and well.wires == []
 
 
+def hangs_after(*answers: str) -> Callable[[Wire], None]:
+    """A partner that answers so many commands and then says nothing more."""
+
+    def script(wire: Wire) -> None:
+        wire.greet()
+        for answer in answers:
+            wire.line()
+            wire.say(answer)
+        time.sleep(5)
+
+    return script
+
+
+@pytest.mark.parametrize("answers", [(), ("250 ok",), ("250 ok", "250 ok")])
+def test_a_hang_before_the_end_of_data_moves_on_within_the_attempt(answers: tuple[str, ...]) -> None:
+    (stuck, first), (well, second) = four(hangs_after(*answers)), four(always)
+    the_pool = pool()
+    outcome = call(the_pool, first, Address(second.host, second.port, priority=1), timeout_us=1_500_000)
+    assert outcome.status is Status.OK
+    assert len(stuck.wires) == 1 and len(well.wires) == 1
+    assert the_pool.book.rests_until(the_pool.now_us(), first) > 0
+
+
+def test_alone_an_address_has_the_whole_time_of_the_attempt() -> None:
+    def slow(wire: Wire) -> None:
+        wire.greet()
+        time.sleep(0.7)
+        wire.take()
+
+    _, address = four(slow)
+    assert call(pool(), address, timeout_us=5_000_000).status is Status.OK
+
+
+def test_an_address_that_is_taken_from_the_endpoint_loses_its_calls_and_idle_connections() -> None:
+    (old, first), (new, second) = four(always), four(always)
+    the_pool = pool()
+    assert call(the_pool, first).status is Status.OK
+    in_reactor(the_pool.listed, {"t": [second]})
+    assert the_pool.idle == {}
+    assert call(the_pool, second).status is Status.OK and len(new.wires) == 1
+    stuck, third = four(hangs_after("250 ok"))
+    done = in_reactor(lambda: [the_pool.call("t", [third], PARCEL, 5_000_000)])[0]
+    until(lambda: len(stuck.wires) == 1 and bool(the_pool.calls))
+    in_reactor(the_pool.listed, {"t": [second]})
+    outcome = in_reactor(lambda: done)
+    assert (outcome.status, outcome.not_run) in {(Status.CONNECT_FAILED, True), (Status.RESET, True)}
+    assert len(old.wires) == 1
+
+
+def test_a_partner_that_closes_idle_connections_is_learned() -> None:
+    def closes(wire: Wire) -> None:
+        wire.greet()
+        wire.take()
+        time.sleep(0.2)
+        wire.sock.close()
+
+    _, address = four(closes)
+    the_pool = pool()
+    assert call(the_pool, address).status is Status.OK
+    until(lambda: the_pool.book.keep_us(address, 5_000_000) < 1_000_000)
+    assert the_pool.idle == {}
+
+
 def test_no_second_connect_beside_the_first_where_the_last_call_failed() -> None:
     out, most = 0, 0
     lock = threading.Lock()
@@ -127,7 +192,7 @@
 
     partners = [four(counting) for _ in range(3)]
     the_pool = pool(0.6)
-    the_pool.failed_last["t"] = None
+    the_pool.book.call_ended(the_pool.now_us(), "t", False)
     outcome = call(the_pool, *[address for _, address in partners])
     assert (outcome.status, outcome.not_run) == (Status.CONNECT_FAILED, True)
     assert most == 1 and sum(len(partner.wires) for partner, _ in partners) >= 2
