decide: what is over leaves the orders of the room; the first to come makes room again

Cause: the orders by which room is made kept every message that was ever held, till the room ran full: memory grew with each message (in only).

Change: a message leaves the orders when it is over; a second order by coming finds the first of equals.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -11,7 +11,7 @@
 import itertools
 import math
 import random
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -83,6 +83,7 @@
     end_us: int
     share: float
     number: int  # in the order of their coming
+    alike: tuple[str, float]  # class and share: messages of one kind but for their age
     key: int | None = None
     calls: list[Call | None] = field(default_factory=list)
     out: int = 0
@@ -331,7 +332,8 @@
         self.wakes: Agenda[Destination] = Agenda()  # when it opens, where it can't be sent to
         self.rank: Agenda[Destination] = Agenda()  # where it can: by what it loses most, at most (negative)
         self.crowded: Agenda[Destination] = Agenda()  # it holds its part of the slots: by calls out
-        self.rooms: dict[tuple[str, float], Agenda[Message]] = {}  # what may be handed back, by birth
+        # What may be handed back, by birth and by coming.
+        self.rooms: defaultdict[object, list[Agenda[Message]]] = defaultdict(lambda: [Agenda(), Agenda()])
         self.by_end = settings.fade is hb.Fade.LINE and all(c.late_share > 0 for c in settings.classes)
         self.arrived = 0  # messages so far
         self.places = itertools.count()  # of those that wait
@@ -438,7 +440,9 @@
         home.ask(self.now)
         born = self.now + event.left_us - kind.deadline_us
         share = self._share(event) * kind.worth
-        message = Message(event.message, kind, home, born, self.now + event.left_us, share, self.arrived)
+        message = Message(
+            event.message, kind, home, born, self.now + event.left_us, share, self.arrived, (kind.name, share)
+        )
         self.messages[message.id] = message
         self.arrived += 1
         self.held += 1
@@ -731,9 +735,9 @@
         return min(open_now, key=lambda e: (e.health is Health.OUT, len(e.calls), -e.last_us), default=None)
 
     def _hold(self, message: Message) -> None:
-        alike = (message.kind.name, message.share)
-        message.home.waiting.put(message.id, alike, message.end_us, next(self.places), message)
-        self.rooms.setdefault(alike, Agenda()).put(message.number, message.born_us, message)
+        message.home.waiting.put(message.id, message.alike, message.end_us, next(self.places), message)
+        for room, key in zip(self.rooms[message.alike], (message.born_us, message.number), strict=True):
+            room.put(message.number, key, message)
         self._touch(message.home)
 
     def _touch(self, home: Destination) -> None:
@@ -898,10 +902,8 @@
             queue = int(len(home.waiting) / rate * SECOND) if rate else 0
             pause = min(max(self._opens_us(home) - self.now, queue, START_US), most)
             keyed = message.may_have_run and message.kind.effect is hb.Effect.KEYED
-            within = (
-                max(0, message.doubt_us + message.kind.window_us - MARGIN_US - self.now) if keyed else None
-            )
-            self.actions.append(hb.HandBack(message.id, pause, within))
+            left = message.doubt_us + message.kind.window_us - MARGIN_US - self.now
+            self.actions.append(hb.HandBack(message.id, pause, max(0, left) if keyed else None))
         else:
             self.actions.append(hb.GiveUp(message.id))
         self._over(message)
@@ -915,6 +917,8 @@
         if message.out > 0:
             return
         self.messages.pop(message.id, None)
+        for room in self.rooms[message.alike]:
+            room.drop(message.number)
         line = self.keys.get(message.key, deque())
         if message in line:
             line.remove(message)
@@ -925,17 +929,15 @@
 
     def _make_room(self) -> None:
         """Hand back what is worth least before arrivals are turned away unseen."""
-        excess = self.held - int(self.settings.max_open * ROOM_FULL)
-        if excess <= 0:
-            return
-        rooms, fade = self.rooms.values(), self.settings.fade
-        for _ in range(excess):  # of messages alike but for age the oldest is worth least
+        for _ in range(self.held - int(self.settings.max_open * ROOM_FULL)):
+            # Of messages alike but for age the oldest is worth least, and of equals the first to come goes.
+            rooms = itertools.chain(*self.rooms.values())
             firsts = [m for room in rooms if (m := room.first_of(lambda m: m.idle and m.harmless))]
-            worth = [
-                (m.share * worth_at(m.kind, fade, self.now - m.born_us), m.born_us, m.number) for m in firsts
-            ]
             if firsts:
-                self._answer(firsts[worth.index(min(worth))])
+                self._answer(min(firsts, key=self._left))
+
+    def _left(self, m: Message) -> tuple[float, int]:
+        return m.share * worth_at(m.kind, self.settings.fade, self.now - m.born_us), m.number
 
     def _watch(self, message: Message) -> None:
         last = message.last_start_us(self._useful_us(message.home))
