Rehearsal with failing addresses; the list moves idle connections and calls of an address

Change: stand-ins listen at several addresses and lose single ones (refuse, mute, hang after MAIL, deaf after the end of data); scenario addresses, ten partners of four addresses. Steps may take five usual connects where the endpoint is calm. News reach the pool before the module. A draw by weight, zones, machines and networks in the register's wire.

--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -137,10 +137,13 @@
             pass
     except OSError:
         six = False  # no IPv6 on this machine: IPv4 in its place, and the report says so
+    rng = random.Random(1)
     for number, stand in enumerate(stands):
         row = []
+        # a third of all: four of twelve over three endpoints, anywhere, and never all of one
+        sick = rng.sample(range(4), (1, 1, 2)[number % 3])
         for place in range(4):
-            broken = (number + place) % 3 == 0
+            broken = place in sick
             here = way if broken else "healthy"
             host = "::1" if place == 0 and six else f"127.0.{place}.{1 + number % 250}"
             path = f"{folder}/{number}.sock" if place == 3 else ""
@@ -187,13 +190,21 @@
 
 
 class Racing(Sequential):
-    """A baseline: two connects at once, always."""
+    """A baseline: two connects at once, always; each further one when one of them has failed or is slow."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self.firsts: set[tuple[str, int, str]] = set()
+
+    def order(self, now: int, addresses: Any) -> list[Choice]:
+        self.firsts.add(addresses[0].spot)
+        return super().order(now, addresses)
 
     def calm(self, now: int, target: str) -> bool:
         return True
 
     def delay_us(self, now: int, address: Address) -> int:
-        return 1
+        return 1 if address.spot in self.firsts else super().delay_us(now, address)
 
 
 POLICIES = {"honeybarrow": Addresses, "sequential": Sequential, "racing": Racing}
--- a/benchmarks/load_front.py
+++ b/benchmarks/load_front.py
@@ -111,7 +111,7 @@
     partners = tuple(Partner(number=i, name=f"d{i}.example") for i in range(count))
     rows = tuple(Row(target=f"t{i}", destination=i, state="ready", addresses=address) for i in range(count))
     news = News(kind="full", version=1, partners=partners, endpoints=rows)
-    service.forwarder.news(service.directory.apply(news))
+    service.news(service.directory.apply(news))
     print(json.dumps(ports), flush=True)
 
     def tell() -> None:
--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -172,7 +172,7 @@
             for i in range(destinations)
         )
         news = News(kind="full", version=1, partners=partners, endpoints=rows)
-        service.forwarder.news(service.directory.apply(news))
+        service.news(service.directory.apply(news))
     print(port, flush=True)
 
     def tell() -> None:
--- a/honeybarrow/reaching.py
+++ b/honeybarrow/reaching.py
@@ -20,7 +20,7 @@
 
 NEVER = 1 << 62
 STEP_TIMES = 5.0  # usual connects: a reply that takes longer is not likely to come
-STEP_LEAST_US = 100_000  # and no reply is late before this
+STEP_LEAST_US = 250_000  # and no reply is late before this
 ANSWER_SHARE = 0.5  # of the time left, kept for the work on the message and its answer
 
 
@@ -81,6 +81,7 @@
         self.until_us, self.connect_us = until_us, connect_us
         self.calm = book.calm(now, target)
         self.left = [choice.address for choice in book.order(now, addresses)]
+        self._all = tuple(self.left)
         self.pending: dict[int, _Try] = {}  # nobody has greeted there yet
         self.carrier: int | None = None
         self.committed = False
@@ -268,9 +269,13 @@
         if self.committed or not self.left or self._carrying is None:
             self._step_us = NEVER
             return
-        usual = STEP_TIMES * self.book.usual_us(now, self._carrying.address)
         part = (self.until_us - now) * ANSWER_SHARE / (len(self.left) + 1)
-        self._step_us = now + int(max(STEP_LEAST_US, usual, part))
+        known = [self.book.usual_us(now, address) for address in self._all]
+        usual = self.book.usual_us(now, self._carrying.address) or max(known, default=0.0)
+        # Danger: one that is cold or busy needs longer than usual, and each move is load to its siblings.
+        if self.calm and usual:
+            part = min(part, max(STEP_LEAST_US, STEP_TIMES * usual))
+        self._step_us = now + int(max(STEP_LEAST_US, part))
 
     def _drop_pending(self, now: int, most: int = PENDING_MOST) -> list[Step]:
         """Give up the oldest connects."""
--- a/honeybarrow/rehearsal/register.py
+++ b/honeybarrow/rehearsal/register.py
@@ -40,14 +40,25 @@
     def put(self, partner: Partner, station: Station, port: int, state: Any) -> None:
         """Change an endpoint's row; told late to those that have subscribed."""
         self.version += 1
-        address = Address(host="127.0.0.1", port=port, protocol=station.protocol)
+        own = Address(host="127.0.0.1", port=port, protocol=station.protocol)
+        more = [
+            Address(
+                host="" if spot.path else spot.host,
+                port=spot.port,
+                path=spot.path,
+                protocol=station.protocol,
+                priority=spot.priority,
+                machine=spot.machine,
+            )
+            for spot in station.spots
+        ]
         self.rows[station.target] = Row(
             target=station.target,
             destination=partner.number,
             state=state,
             zone=station.zone,
             weight=partner.listed_rate,
-            addresses=(address,),
+            addresses=(own, *more),
         )
         self.changed[station.target] = self.version
         self.clock.callLater(self.spec.delay / 1e6, self._push)
--- a/honeybarrow/seams.py
+++ b/honeybarrow/seams.py
@@ -36,7 +36,9 @@
 
 
 class Reactor(Clock, Network, Protocol):
-    """Both."""
+    """Both, and Unix sockets to listen at."""
+
+    def listenUNIX(self, address: str, factory: Any) -> Any: ...
 
 
 class Logger(Protocol):
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -99,7 +99,7 @@
             place,
             timeout,
             self.directory,
-            self._news,
+            self.news,
             save_list,
             log,
             settings.name,
@@ -169,7 +169,7 @@
             self.ports.append(self.reactor.listenTCP(listen.port, factory, interface=listen.host))
         if news is None:
             news = self.directory.apply(EMPTY, saved=True)
-        self._news(news)
+        self.news(news)
         if self.metrics is not None:
             site = Site(Scrape(self.metrics))  # type: ignore[no-untyped-call]
             port = self.settings.observe.metrics_port
@@ -221,7 +221,7 @@
     def _subscribe(self) -> None:
         self.register.subscribe()
 
-    def _news(self, news: MembershipNews) -> None:
+    def news(self, news: MembershipNews) -> None:
         """The list has changed: addresses that are an endpoint's no longer are left before any send."""
         before, self._places = self._places, {}
         for target in dict.fromkeys([*before, *self.pool.idle, *self.pool.calls]):
