decide: short outages are told from chance by calls still out, siblings and few senders

The first answer was taken for the end of a chance loss: most lost calls were out still; or the losses were spread over two endpoints, and a sibling of a ramping one came back at full pace; or connects had been refused at once, as by a full table among hundreds of senders.

Change: calls that are out while a later one is answered count as lost; losses count for the lane; beside a ramp no return is chance; among few senders refused connects count. A deliberate difference, three tests that failed before.

--- a/honeybarrow/agenda.py
+++ b/honeybarrow/agenda.py
@@ -84,6 +84,11 @@
         """Take an item out. Raises ``KeyError`` if it is not in."""
         return self._known.pop(number)[1]
 
+    def first_key(self, default: float) -> float:
+        """The least key, or ``default`` if there is nothing."""
+        entry = self.first_entry()
+        return default if entry is None else entry[0]
+
     def first_of(self, wanted: Callable[[Item], bool]) -> Item | None:
         """The first item that is wanted; those before it are taken out."""
         while (entry := self.first()) is not None:
--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -192,7 +192,7 @@
 TRICKLE_AGE = 8.0  # later the most grows with the outage, by this part of its age: a backoff in its turn
 ROUGH_SURE = 0.67  # part of a rough listed rate that can be relied on
 SHORT_US = 3_000_000  # no outage, but chance, if an answer comes so soon after the first loss
-SHORT_LOST = 6  # unless so many slow losses came in a row: they hardly do by chance
+SHORT_LOST = 6  # unless so many were lost slowly in a row or are still out, which hardly happens by chance
 REST_FEW = 12  # senders that see enough calls each to suspect an outage by themselves, and need no rest
 REST_TIMES = 2.0  # a rest after a failure: the budget's part that it leaves to others
 # Danger: as a silent destination returns, most of hundreds have seen just one connect fail, slowly at that.
@@ -556,7 +556,8 @@
         else:
             lane.opens_us = NEVER
             late = max(0, self.now - call.sent_us - int(endpoint.usual_us))  # beyond what an answer takes
-            endpoint.lost += fresh_loss and late > endpoint.usual_us and status is not hb.Status.ERROR
+            slow = late >= endpoint.usual_us * (self.settings.senders > REST_FEW)  # few fill no table
+            endpoint.lost += fresh_loss and slow and status is not hb.Status.ERROR
             silent = late if status is hb.Status.CONNECT_FAILED else 0
             lane.rest_us = self._after_us(lane, silent) if fresh_loss else lane.rest_us
         if status not in (hb.Status.FULL, hb.Status.ERROR):  # errors count by their share of the calls alone
@@ -586,7 +587,9 @@
         young = self.now - endpoint.lost_us < SHORT_US
         # Danger: an outage shorter than that leaves a destination cold too, and a busy sender with all that
         # waited pushes it over alone. Full tables refuse at once; lost idle connections count for nothing.
-        chance, endpoint.lost = young and endpoint.lost < SHORT_LOST, 0
+        lost = sum(e.lost + sum(c.sent_us < call.sent_us for c in e.calls) for e in lane.endpoints)
+        lost += SHORT_LOST * any(e.health is Health.RAMP for e in lane.endpoints)  # no chance for a sibling
+        chance, endpoint.lost = young and lost < SHORT_LOST, 0
         if young and endpoint.barred_us >= endpoint.lost_us:
             self.tight[endpoint.home.kind.name] = True
         self.stale_us = self.now + STALE_SPAN_US if young and endpoint.stale else self.stale_us
@@ -746,8 +749,7 @@
 
     def _look(self) -> None:
         """Find which destinations may be sent to now, when the others may, and when that can change."""
-        for home in self.checks.take(self.now):
-            self._touch(home)
+        self.touched.update((home.order, home) for home in self.checks.take(self.now))
         while self.touched:
             touched, self.touched = self.touched, {}
             for _, home in sorted(touched.items(), key=lambda item: item[0]):
@@ -792,8 +794,7 @@
             home = message.home
             # Danger: one slow or silent destination takes all slots. It is left a part of the free ones.
             out = sum(len(e.calls) for e in home.endpoints)
-            free = self.settings.slots - self.slots_used
-            if free <= 0:
+            if (free := self.settings.slots - self.slots_used) <= 0:
                 break
             if out >= LANE_SLOTS * free:
                 self.crowded.put(home.order, out, home)
@@ -953,8 +954,7 @@
 
     def _set_wake(self) -> None:
         self._look()
-        wake = self.wakes.first()
-        soonest = min(self.due[0][0] if self.due else NEVER, int(wake[0]) if wake else NEVER)
+        soonest = int(min(self.due[0][0] if self.due else NEVER, self.wakes.first_key(NEVER)))
         if soonest < self.wake_us:
             self.wake_us = max(soonest, self.now + 1)
             self.actions.append(hb.SetTimer(WAKE, self.wake_us - self.now))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -804,3 +804,52 @@
     first = min(back)
     assert len(back) > 50
     assert sum(at < first + SECOND for at in back) < len(back) / 2
+
+
+def test_calls_that_are_out_still_tell_an_outage_of_less_than_three_seconds_from_chance() -> None:
+    """Three were lost and five are out, when a later one is answered: it was silent for all eight."""
+    it = caller(slots=40)
+    for n in range(8):
+        it.arrive(f"m{n}", "pay")
+    it.wait(1_900_000)  # past the patience
+    for n in range(3):
+        it.end(f"m{n}", hb.Status.TIMEOUT)
+    endpoint = it.sender.endpoints["a:1"]
+    healths = [endpoint.health]
+    it.arrive("trial")
+    assert it.until_sent("trial")
+    it.end("trial", hb.Status.OK)
+    healths.append(endpoint.health)
+    assert healths == [decide.Health.OUT, decide.Health.RAMP]
+
+
+def test_when_one_endpoint_of_a_lane_ramps_its_sibling_does_not_come_back_at_once() -> None:
+    it = caller("a:1", "a:2")
+    one, two = (it.sender.endpoints[target] for target in ("a:1", "a:2"))
+    for endpoint in (one, two):
+        it.sender._out(endpoint, "test")
+    one.turn(decide.Health.RAMP, it.now)
+    two.next_us = it.now
+    two.lost_us = it.now
+    one.usable = False
+    it.arrive("m")
+    assert it.sent("m")
+    it.end("m", hb.Status.OK)
+    assert two.health is decide.Health.RAMP
+
+
+@pytest.mark.parametrize(("senders", "health"), [(3, decide.Health.RAMP), (40, decide.Health.WELL)])
+def test_among_few_senders_refused_connects_are_an_outage_and_no_full_table(
+    senders: int, health: decide.Health
+) -> None:
+    it = caller(slots=40, senders=senders)
+    for n in range(7):
+        it.arrive(f"m{n}")
+    for n in range(7):
+        it.end(f"m{n}", hb.Status.CONNECT_FAILED, not_run=True)
+    endpoint = it.sender.endpoints["a:1"]
+    assert endpoint.health is decide.Health.OUT
+    assert it.until_sent("m0")
+    assert it.now < decide.SHORT_US
+    it.end("m0", hb.Status.OK)
+    assert endpoint.health is health
