--- /dev/null
+++ b/honeybarrow/cli/lab.py
@@ -0,0 +1,106 @@
+"""``honeybarrow lab``: whole days in simulated time, the search for bad ones, what befell a message."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from honeybarrow import lab as laboratory
+from honeybarrow.lab import search as searching
+from honeybarrow.lab.explain import explain as explained
+from honeybarrow.rehearsal import report
+
+
+def make(read_day: object) -> click.Group:
+    """The group of commands. ``read_day`` reads a scenario by file or name."""
+    assert callable(read_day)
+
+    def day_of(file: Path | None, seed: int | None) -> laboratory.Day:
+        scenario, forwarders = read_day(file)
+        day = laboratory.Day(scenario, tuple(forwarders))
+        return day if seed is None else day.seeded(seed)
+
+    @click.group("lab")
+    def group() -> None:
+        """Whole days in simulated time: the program unchanged, on a simulated clock and network."""
+
+    scenario_argument = click.argument("file", type=click.Path(path_type=Path), required=False)
+    seed_option = click.option("--seed", type=click.IntRange(0), default=None)
+
+    @group.command()
+    @scenario_argument
+    @seed_option
+    @click.option("--quiet", is_flag=True, help="The verdict alone.")
+    def run(file: Path | None, seed: int | None, quiet: bool) -> None:
+        """Play a scenario and judge it; exit status 1 if a rule broke."""
+        day = day_of(file, seed)
+        result = laboratory.play(day, lambda text: None if quiet else click.echo(text, err=True))
+        click.echo(report(result.verdict, day.scenario.name, day.scenario.seed))
+        click.echo(
+            f"\n  worth {result.worth:.4f}; {result.simulated_s:.1f} s simulated in {result.took_s:.1f} s,"
+            f" {result.events} events, trace {result.trace_hash[:16]} of {result.lines} lines"
+        )
+        sys.exit(0 if result.verdict.kept else 1)
+
+    @group.command()
+    @scenario_argument
+    @click.option("--days", type=click.IntRange(1, 100_000), default=40, show_default=True)
+    @click.option(
+        "--first", type=click.IntRange(0), default=1, show_default=True, help="The first day's seed."
+    )
+    @click.option(
+        "--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default="all cores"
+    )
+    @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the worst day, cut down.")
+    def search(file: Path | None, days: int, first: int, jobs: int, keep: Path | None) -> None:
+        """Draw random days of a scenario's parts and play them; exit status 1 if one breaks a rule."""
+        day = day_of(file, None)
+
+        def told(found: searching.Found) -> None:
+            if found.broken or found.fault:
+                click.echo(
+                    f"seed {found.seed}: {found.fault or 'breaks ' + ', '.join(found.broken)}", err=True
+                )
+
+        found = searching.search(day, range(first, first + days), jobs, told)
+        click.echo(f"{days} days of {day.scenario.name}; the worst:")
+        for each in found[:5]:
+            kinds = ", ".join(f"{t.kind} {t.who}".strip() for t in each.troubles)
+            state = each.fault or ("breaks " + ", ".join(each.broken) if each.broken else "rules held")
+            click.echo(f"  seed {each.seed:6} worth {each.worth:.4f}  {state}  [{kinds}]")
+        worst = found[0]
+        if keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+
+            def bad(candidate: laboratory.Day) -> bool:
+                again = searching.judge(candidate)
+                if worst.fault:
+                    return bool(again.fault)
+                if worst.broken:
+                    return again.broken == worst.broken
+                return again.worth <= worst.worth + (1.0 - worst.worth) / 4
+
+            small = searching.reduce(searching.draw(day, worst.seed), bad)
+            path = keep / f"{day.scenario.name}-{worst.seed}.star"
+            path.write_text(searching.script(small), encoding="utf-8")
+            click.echo(f"  cut down to {len(small.scenario.troubles)} troubles: {path}")
+        sys.exit(1 if worst.broken or worst.fault else 0)
+
+    @group.command()
+    @click.argument("message")
+    @scenario_argument
+    @seed_option
+    def explain(message: str, file: Path | None, seed: int | None) -> None:
+        """Play a scenario and tell all that happened to a MESSAGE (its Message-ID)."""
+        day = day_of(file, seed)
+        result = laboratory.play(laboratory.Day(day.scenario, day.forwarders, day.link, keep_trace=True))
+        lines = explained(result.trace, message)
+        if not lines:
+            click.echo(f"honeybarrow: the day has no message {message!r}", err=True)
+            sys.exit(2)
+        click.echo("\n".join(lines))
+
+    return group
--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -102,6 +102,10 @@
     def kill(self, name: str) -> None:
         self._signal(name, "KILL")
 
+    def stall(self, name: str, span_us: int) -> None:
+        self._signal(name, "STOP")
+        reactor.callLater(span_us / 1e6, self._signal, name, "CONT")
+
     def stop_all(self) -> Deferred[None]:
         for name in self.children:
             self._signal(name, "TERM")
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from honeybarrow import __version__, config
+from honeybarrow.cli import lab
 from honeybarrow.cli.logs import LEVELS, start_logging
 from honeybarrow.collector import calm
 from honeybarrow.config import schema
@@ -198,12 +199,7 @@
             first = each.read_text(encoding="utf-8").partition("\n")[0].lstrip("# ")
             click.echo(f"{each.stem:16} {first}")
         return
-    path = file if file is not None else SCENARIOS / "bad-day.star"
-    if file is not None and not file.exists() and (SCENARIOS / f"{file}.star").exists():
-        path = SCENARIOS / f"{file}.star"
-    scenario, forwarders = read_scenario(path)
-    if not forwarders or not scenario.clients:
-        fail(f"{path}: a rehearsal needs forwarders and clients", USAGE)
+    path, scenario, forwarders = find_scenario(file)
     if seed is not None:
         scenario = msgspec.structs.replace(scenario, seed=seed)
     from honeybarrow.cli.launch import play
@@ -261,6 +257,17 @@
         raise AssertionError from None
 
 
+def find_scenario(file: Path | None) -> tuple[Path, Rehearsal, list[schema.Forwarder]]:
+    """A scenario by its file or as one of our own by name; the bad day if none is named."""
+    path = file if file is not None else SCENARIOS / "bad-day.star"
+    if file is not None and not file.exists() and (SCENARIOS / f"{file}.star").exists():
+        path = SCENARIOS / f"{file}.star"
+    scenario, forwarders = read_scenario(path)
+    if not forwarders or not scenario.clients:
+        fail(f"{path}: a rehearsal needs forwarders and clients", USAGE)
+    return path, scenario, forwarders
+
+
 def monotonic_us() -> int:
     return time.monotonic_ns() // 1000
 
@@ -381,3 +388,6 @@
         fresh.replace(path)
     except OSError as error:
         log.warning("the list can't be saved", why=str(error))
+
+
+main.add_command(lab.make(lambda file: find_scenario(file)[1:]))
--- a/honeybarrow/rehearsal/partner.py
+++ b/honeybarrow/rehearsal/partner.py
@@ -247,6 +247,8 @@
         if self.open_call:
             self.open_call = False
             self.note("call lost", committed=self.session.waiting)
+        elif self.deaf:
+            self.note("connection given up")
 
     def strike(self, kind: str) -> None:
         """An outage that begins takes what is open with it."""
--- a/honeybarrow/rehearsal/play.py
+++ b/honeybarrow/rehearsal/play.py
@@ -30,6 +30,9 @@
     def kill(self, name: str) -> None:
         """End it without a word."""
 
+    def stall(self, name: str, span_us: int) -> None:
+        """Give it no CPU for so long."""
+
     def stop_all(self) -> Deferred[None]:
         """End all as an operator would; fires when they are gone."""
 
@@ -167,6 +170,9 @@
             self.book.note(trouble.who, "killed")
             self.launcher.kill(trouble.who)
             later(last, self._restart, trouble.who)
+        elif trouble.kind == "stall":
+            self.book.note(trouble.who, "stalled", last=trouble.last)
+            self.launcher.stall(trouble.who, trouble.last)
         elif trouble.kind == "burst":
             for client in self.clients:
                 if client.spec.name == trouble.who:
--- a/honeybarrow/rehearsal/schema.py
+++ b/honeybarrow/rehearsal/schema.py
@@ -117,6 +117,7 @@
     "register_bad",
     "register_stale",
     "kill",
+    "stall",
     "burst",
 ]
 
@@ -168,6 +169,7 @@
                 "register_bad": {""},
                 "register_stale": {""},
                 "kill": None,
+                "stall": None,
             }.get(trouble.kind, partners)
             if places is not None and trouble.who not in places:
                 raise ValueError(f"trouble {trouble.kind}: there is no {trouble.who!r}")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -189,6 +189,8 @@
         self.service.start()
         return succeed(None)
 
+    def stall(self, name: str, span_us: int) -> None: ...
+
     def kill(self, name: str) -> None:
         raise NotImplementedError("a process of its own is needed for that")
 
