--- /dev/null
+++ b/benchmarks/mutants.py
@@ -0,0 +1,177 @@
+"""Guards that are taken out of the program, one at a time, and whether the laboratory's search finds each.
+
+    python -m benchmarks.mutants [--days 40] [--jobs 8]
+
+Every mutant plays drawn days of one small scenario, seeds 1, 2, ... till one breaks a rule or faults.
+"""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from honeybarrow import config, decide, lab
+from honeybarrow.again import Again
+from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.forward import core, outcome, pool
+from honeybarrow.interface import Status
+from honeybarrow.lab import search
+from honeybarrow.reaching import Close, Reaching
+from honeybarrow.rehearsal import SCENARIO_WORDS, Rehearsal
+from tests import mutants
+
+SPOTS = 'spots = [spot(name + "_2", host = "127.0.0.2", port = 3000 + number)]'
+
+
+def base() -> lab.Day:
+    """The rough day of the tests, with a second address for most endpoints and messages that come again."""
+    text = mutants.DAY % (2525, 2600, 2600)
+    text = text.replace('station(name + "-a", port = 0)', f'station(name + "-a", port = 0, {SPOTS})')
+    records = config.evaluate("mutants.star", text, SCENARIO_WORDS)
+    return lab.Day(
+        config.one(records, Rehearsal, Path("mutants.star")), tuple(config.every(records, Settings))
+    )
+
+
+def patch(owner: Any, name: str, make: Callable[[Any], Any]) -> None:
+    setattr(owner, name, make(getattr(owner, name)))
+
+
+def always(value: Any) -> Callable[[Any], Any]:
+    return lambda old: lambda *_, **__: value
+
+
+def answer_late() -> None:
+    def make(old: Any) -> Any:
+        def answer(self: Any, held: Any, final: Any) -> None:
+            delay = 0.0 if isinstance(final, core.Delivered) else 1.0
+            self.clock.callLater(delay, old, self, held, final)
+
+        return answer
+
+    patch(core.Forwarder, "_answer", make)
+
+
+def keep_connections() -> None:
+    """A call that is cut off leaves its connection to the next one."""
+
+    def make(old: Any) -> Any:
+        def do(self: Any, steps: Any) -> None:
+            old(self, [step for step in steps if not isinstance(step, Close)])
+
+        return do
+
+    patch(pool._Call, "_do", make)
+
+
+def moves_after_data() -> None:
+    def make(old: Any) -> Any:
+        def commit(self: Any, now: int) -> None:
+            self._await_reply(now)
+
+        return commit
+
+    patch(Reaching, "commit", make)
+
+
+def no_settle() -> None:
+    patch(Settings, "settings", lambda old: lambda self: replace(old(self), settle_us=0))
+
+
+def no_cap() -> None:
+    patch(decide.Message, "last_start_us", lambda old: lambda self, useful: self.end_us + 2_000_000)
+
+
+def two_attempts() -> None:
+    """A message that is out may be sent again."""
+
+    def make(old: Any) -> Any:
+        def send(self: Any, message: Any, call: Any) -> None:
+            old(self, message, call)
+            if message.out and message.id not in message.home.waiting:
+                message.out = 0
+                self._hold(message)
+
+        return send
+
+    patch(decide.Sender, "_send", make)
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    "none": lambda: None,
+    "module: resends unsafe messages": mutants.resend_unsafe,
+    "module: every loss is not run": lambda: patch(decide.Sender, "_ended", mutants.never_in_doubt),
+    "module: drains unheard": lambda: patch(decide.Sender, "_membership", mutants.drains_unheard),
+    "module: waits unheard": lambda: patch(decide.Sender, "_ended", mutants.waits_unheard),
+    "module: keys unheeded": lambda: patch(decide.Sender, "_arrived", mutants.keys_unheeded),
+    "module: keys do not rest": no_settle,
+    "module: no ramp, no trickle": lambda: patch(decide.Sender, "_spacing_us", always(0)),
+    "module: no health, pace, rest": mutants.rush,
+    "module: no hard cap": no_cap,
+    "module: sent while out": two_attempts,
+    "module: doubt is harmless": lambda: patch(
+        decide.Message, "harmless", lambda old: property(lambda self: True)
+    ),
+    "module: nothing is due": lambda: patch(decide.Sender, "_due", always(None)),
+    "forwarder: refusals not answered": lambda: patch(core.Forwarder, "_answer", mutants.drop_refusals),
+    "forwarder: answers late": answer_late,
+    "forwarder: failures said as refusals": lambda: patch(core.Forwarder, "_answer", mutants.refuse_all),
+    "forwarder: loss is never in doubt": lambda: patch(
+        pool, "of_loss", lambda old: lambda connected, committed, why: outcome.of_loss(connected, False, why)
+    ),
+    "forwarder: time-out is never in doubt": lambda: patch(
+        pool,
+        "of_timeout",
+        lambda old: lambda connected, committed: replace(old(connected, committed), not_run=True),
+    ),
+    "forwarder: error is success": lambda: patch(
+        pool, "of_reply", lambda old: lambda reply, phase: replace(old(reply, phase), status=Status.OK)
+    ),
+    "addresses: moves after the end of data": moves_after_data,
+    "addresses: nothing is closed": keep_connections,
+    "intake: what comes again is new": lambda: patch(Again, "taken", always(None)),
+}
+
+
+def one(name: str, days: int) -> str:
+    """The first seed whose day breaks a rule, and which."""
+    MUTANTS[name]()
+    day = base()
+    for seed in range(1, days + 1):
+        found = search.judge(search.draw(day, seed))
+        if found.broken or found.fault:
+            return f"seed {seed}: {found.fault[:70] or ', '.join(found.broken)}"
+    return f"not found in {days} days"
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--days", type=int, default=40)
+    parser.add_argument("--jobs", type=int, default=8)
+    parser.add_argument("--one", default="")
+    args = parser.parse_args()
+    if args.one:
+        print(one(args.one, args.days))
+        return
+    began = time.monotonic()
+
+    def run(name: str) -> str:
+        command = [sys.executable, "-m", "benchmarks.mutants", "--one", name, "--days", str(args.days)]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        return done.stdout.strip() or done.stderr.strip().splitlines()[-1]
+
+    with ThreadPoolExecutor(args.jobs) as threads:
+        for name, text in zip(MUTANTS, threads.map(run, MUTANTS), strict=True):
+            print(f"{name:40} {text}", flush=True)
+    print(f"{time.monotonic() - began:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/honeybarrow/lab/net.py
+++ b/honeybarrow/lab/net.py
@@ -29,6 +29,7 @@
 from twisted.python.failure import Failure
 
 SECOND = 1_000_000
+EVENTS_A_SECOND = 500_000  # some hundred times those of a busy day
 Place = tuple[str, int] | str
 
 
@@ -75,6 +76,7 @@
         self.link = link or Link()
         self.now_us = SECOND  # not 0: a program may take 0 for never
         self.events = 0
+        self._second_us, self._in_second = 0, 0
         self._queue: list[tuple[int, int, Timer]] = []
         self._order = 0
         self.listeners: dict[Place, Listener] = {}
@@ -109,6 +111,12 @@
                 continue
             self.now_us = max(self.now_us, due)
             self.events += 1
+            if self.now_us >= self._second_us + SECOND:
+                self._second_us, self._in_second = self.now_us, 0
+            self._in_second += 1
+            # Danger: a program that sets one timer after another would keep a day from ever ending.
+            if self._in_second > EVENTS_A_SECOND:
+                raise RuntimeError(f"{timer.host.name} spins: too many events in a simulated second")
             timer.fire()
         if over():
             return True
--- a/honeybarrow/rehearsal/judge.py
+++ b/honeybarrow/rehearsal/judge.py
@@ -118,6 +118,8 @@
         for hand in self.handed:
             late = hand.ends + self.rules.answer_grace + SLACK_US
             for begins, ends in stalls[hand.forwarder]:
+                if begins <= hand.at <= ends:  # it lay unread; its time runs from when it is taken
+                    late += ends - hand.at
                 if begins <= late <= ends + SLACK_US:
                     late = ends + self.rules.answer_grace + SLACK_US
             if hand.answered == NEVER:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -120,6 +120,18 @@
     assert world.now_us - start >= 2 * SECOND and far.data == b"hello"
 
 
+def test_a_process_that_spins_ends_the_day() -> None:
+    world = World(1)
+    host = world.host("spinner")
+
+    def again() -> None:
+        host.callLater(1e-6, again)
+
+    again()
+    with pytest.raises(RuntimeError, match="spinner spins"):
+        world.run(lambda: False, 10 * SECOND)
+
+
 def test_a_paused_stream_waits() -> None:
     world = World(1)
     near, far, _, _ = joined(world)
