--- a/honeybarrow/config/schema.py
+++ b/honeybarrow/config/schema.py
@@ -192,7 +192,8 @@
     allow: tuple[str, ...] = ("127.0.0.0/8", "::1/128")
     reach: tuple[str, ...] = ("127.0.0.0/8", "::1/128")  # networks that partners' addresses may lie in
     refused: tuple[str, ...] = ()  # and of them those that they may not
-    sockets: tuple[str, ...] = ("/tmp", "/run", "/var/run")  # directories that their Unix sockets may lie in
+    # Directories that their Unix sockets may lie in: none that anybody may write to.
+    sockets: tuple[str, ...] = ("/run", "/var/run")
     share_networks: bool = False  # whether a partner may have addresses in the networks of another
     zone: str = ""  # the network zone of this forwarder: addresses there come first
     tls: Tls | None = None
