rehearse: a stalled forwarder process is let go on again

Cause: the trouble stall sent a signal by a name that Twisted does not know, so on sockets the process would have stayed stopped; only simulated time had been tried.

Change: signals by number; a test that failed before.

--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -103,8 +103,8 @@
         self._signal(name, "KILL")
 
     def stall(self, name: str, span_us: int) -> None:
-        self._signal(name, "STOP")
-        reactor.callLater(span_us / 1e6, self._signal, name, "CONT")
+        self._signal(name, signal.SIGSTOP)
+        reactor.callLater(span_us / 1e6, self._signal, name, signal.SIGCONT)
 
     def stop_all(self) -> Deferred[None]:
         for name in self.children:
@@ -125,9 +125,9 @@
         for name in self.children:
             self.kill(name)
 
-    def _signal(self, name: str, signal_name: str) -> None:
+    def _signal(self, name: str, which: str | int) -> None:
         with contextlib.suppress(ProcessExitedAlready):
-            self.children[name][1].signalProcess(signal_name)
+            self.children[name][1].signalProcess(which)
 
 
 def play(
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any, ClassVar
 
 import pytest
 
@@ -93,3 +94,24 @@
     assert done.returncode == 0, done.stdout + done.stderr
     assert report.read_text().startswith("rehearsal calm, seed 2: all rules held")
     assert {path.name for path in keep.iterdir()} == {"solo.log", "sockets.jsonl"}
+
+
+def test_a_stall_stops_a_process_and_lets_it_go_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Twisted has no word for the second signal, and took it for a number."""
+    from honeybarrow.cli import launch
+
+    class Process:
+        signals: ClassVar[list[object]] = []
+
+        def signalProcess(self, which: object) -> None:
+            self.signals.append(which)
+
+    class Later:
+        def callLater(self, _: float, action: Any, *args: Any) -> None:
+            action(*args)
+
+    monkeypatch.setattr(launch, "reactor", Later())
+    processes = launch.Processes(Path(), Path())
+    processes.children["solo"] = (None, Process())  # type: ignore[assignment]
+    processes.stall("solo", 1_000)
+    assert Process.signals == [signal.SIGSTOP, signal.SIGCONT]
