--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -443,6 +443,8 @@
         message = Message(
             event.message, kind, home, born, self.now + event.left_us, share, self.arrived, (kind.name, share)
         )
+        message.calls = [None] * event.attempts
+        message.doubt_us = NEVER if event.doubt_us is None else self.now - event.doubt_us
         self.messages[message.id] = message
         self.arrived += 1
         self.held += 1
@@ -847,14 +849,12 @@
         for some in shares.values():
             yield self._weigh(home, useful, (message for _, message in sorted(some)))
 
-    def _weigh(
-        self, home: Destination, useful: int, line: Iterable[Message]
-    ) -> Iterator[tuple[float, Message]]:
+    def _weigh(self, home: Destination, per: int, line: Iterable[Message]) -> Iterator[tuple[float, Message]]:
         for message in line:
             if home.order in self.crowded:
                 return
             if self._in_turn(message):
-                yield self._press(message) / useful, message
+                yield self._press(message) / per, message
 
     def _in_turn(self, message: Message) -> bool:
         """Due, and not behind another message of its key; bundles look for themselves."""
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
@@ -18,10 +19,8 @@
 from honeybarrow import interface as hb
 from honeybarrow.decide import Sender
 from honeybarrow.forward.outcome import Outcome
-from honeybarrow.forward.pool import Parcel, Place, Pool
 from honeybarrow.mail import Reply
-from honeybarrow.observe import Nobody, Observer
-from honeybarrow.seams import Clock, Logger
+from honeybarrow.seams import Clock, Forgetful, Keeper, Logger, Nobody, Observer
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,29 +43,50 @@
     """Final answer: given up, with no promise about the effect.
 
     ``reply``: a partner's refusal for good. ``within_us``: for so long the partner still drops a repeat
-    of a keyed message, so that handing it in again is harmless until then and not after.
+    of a keyed message, so that handing it in again is harmless until then and not after; ``wait_us`` is then
+    the wait that a refusal would tell.
     """
 
     why: str = ""
     reply: Reply | None = None
     within_us: int | None = None
+    wait_us: int = 0
 
 
 Answer = Delivered | Refused | Failed
 
 
+class Carrier(Protocol):
+    """What carries calls to endpoints: the pool of one protocol. What a parcel holds is its own matter."""
+
+    def call(self, target: str, places: Sequence[Any], parcel: Any, timeout_us: int) -> Deferred[Outcome]: ...
+
+    def close_idle(self, target: str) -> None: ...
+
+
+def _nothing() -> None: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A message as a front hands it in; ``left_us`` is the time until its answer is due."""
+    """A message as a front hands it in; ``left_us`` is the time until its answer is due.
+
+    ``accepted`` is called once it is kept beyond the process, before anything of it is sent; not at all if
+    the module answers it in the turn of its coming. ``attempts`` and ``doubt_us``: its past in an earlier
+    life, see :class:`honeybarrow.interface.MessageArrived`.
+    """
 
     message: str
     class_name: str
     destination: int
     left_us: int
-    parcel: Parcel
+    parcel: Any
     tenant: str = ""
     key: int | None = None
     repeat: bool = False
+    accepted: Callable[[], None] = _nothing
+    attempts: int = 0
+    doubt_us: int | None = None
 
 
 @dataclass(slots=True)
@@ -108,15 +128,19 @@
         seed: int,
         clock: Clock,
         now_us: Callable[[], int],
-        pool: Pool,
-        places: Callable[[str], Sequence[Place]],
+        pool: Carrier,
+        places: Callable[[str], Sequence[Any]],
         subscribe: Callable[[], None],
         log: Logger,
         crashed: Callable[[Exception], None],
         observer: Observer | None = None,
         partner: Callable[[int], str] = str,
+        keeper: Keeper | None = None,
+        may_begin: Callable[[Submission], bool] = lambda submission: True,
     ) -> None:
         self.observer: Observer = observer or Nobody()
+        self.keeper: Keeper = keeper or Forgetful()
+        self.may_begin = may_begin
         self.partner = partner
         self.settings, self.clock, self.pool, self.log = settings, clock, pool, log
         self.places, self.subscribe, self.crashed = places, subscribe, crashed
@@ -125,6 +149,7 @@
         self._now_us = now_us
         self._last_us = 0
         self._events: list[hb.Event] = []
+        self._arrived: list[_Held] = []  # in this turn
         self._turning = False
         self._held: dict[str, _Held] = {}
         self._open = 0
@@ -149,13 +174,17 @@
         if submission.class_name not in self.sender.classes:
             raise ValueError(f"unknown class {submission.class_name!r}")
         done: Deferred[Answer] = Deferred(lambda _: self._withdraw(submission.message))
-        if self._open >= self.settings.max_open:
+        resumed = submission.attempts > 0 or submission.doubt_us is not None
+        if self._open >= self.settings.max_open and not resumed:  # what was taken on once keeps its place
             self.counts.turned_away += 1
             wait = intake.turn_away_us(0, self.settings.max_retry_after_us, self.rng)
             self.log.info("turned away", message=submission.message, held=self._open, wait_us=wait)
             done.callback(Refused(wait, "no room"))
             return done
-        self._held[submission.message] = _Held(submission, done, self._now_us())
+        held = _Held(submission, done, self._now_us(), submission.attempts)
+        held.doubt = submission.doubt_us is not None
+        self._held[submission.message] = held
+        self._arrived.append(held)
         self._open += 1
         self.counts.taken += 1
         partner = self.partner(submission.destination)
@@ -176,10 +205,16 @@
                 submission.tenant,
                 submission.key,
                 submission.repeat,
+                submission.attempts,
+                submission.doubt_us,
             )
         )
         return done
 
+    def holds(self, message: str) -> bool:
+        """Whether a message of this id is held, or something of it is out."""
+        return message in self._held
+
     def news(self, news: hb.MembershipNews) -> None:
         """News of the list of endpoints."""
         self._happened(news)
@@ -225,6 +260,7 @@
             self.abandon("internal fault")
             self.crashed(error)
             return
+        self._keep(actions)
         for action in actions:
             self._carry_out(action)
         # Only now: an answer given above may withdraw a message that a later action of this turn names.
@@ -234,6 +270,23 @@
             if held is not None and held.out == 0:
                 del self._held[message]
 
+    def _keep(self, actions: list[hb.Action]) -> None:
+        """Before anything of this turn leaves: what was taken and what begins is kept, then promised."""
+        arrived, self._arrived = self._arrived, []
+        answered = {a.message: None for a in actions if isinstance(a, hb.HandBack | hb.GiveUp)}
+        kept = [held for held in arrived if not held.over and held.submission.message not in answered]
+        for held in kept:
+            self.keeper.taken(held.submission)
+        numbers: dict[str, int] = {}
+        for action in actions:
+            if isinstance(action, hb.Send) and (held_one := self._held.get(action.message)) is not None:
+                number = numbers.get(action.message, held_one.attempts)
+                numbers[action.message] = number + 1
+                self.keeper.began(action.message, number)
+        self.keeper.commit()
+        for held in kept:
+            held.submission.accepted()
+
     def _since_taken(self, event: hb.MessageArrived, now: int) -> hb.MessageArrived:
         held = self._held.get(event.message)
         return event if held is None else replace(event, left_us=event.left_us - (now - held.at_us))
@@ -248,7 +301,8 @@
                 # Danger: "harmless to try again" holds for a keyed message in doubt only while its partner
                 # knows the key; a client that comes later by habit would have it done twice.
                 bounded = within_us is not None
-                self._answer(held, Failed(why, None, within_us) if bounded else Refused(pause_us, why))
+                refused = Refused(pause_us, why)
+                self._answer(held, Failed(why, None, within_us, pause_us) if bounded else refused)
             case hb.GiveUp(message):
                 held = self._held[message]
                 last = held.last
@@ -273,10 +327,12 @@
         held.out += 1
         places = self.places(action.target)
         slots_full = self._calls >= self.settings.slots
-        if not places or held.over or slots_full:
+        barred = not self.may_begin(held.submission)
+        if not places or held.over or slots_full or barred:
             self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
-            outcome = Outcome(hb.Status.NOT_SENT, True, why="no slot" if slots_full else "no address")
-            self._ended(held, number, action.target, self._now_us(), slots_full, outcome)
+            why = "no slot" if slots_full else "stopping" if barred else "no address"
+            outcome = Outcome(hb.Status.NOT_SENT, True, why=why, slots_full=slots_full)
+            self._ended(held, number, action.target, self._now_us(), outcome)
             return
         self._calls += 1
         self.counts.attempts += 1
@@ -295,15 +351,13 @@
 
     def _called(self, outcome: Outcome, held: _Held, number: int, target: str, began: int) -> None:
         self._calls -= 1
-        self._ended(held, number, target, began, False, outcome)
+        self._ended(held, number, target, began, outcome)
 
     def _bug(self, failure: Failure, held: _Held, number: int, target: str, began: int) -> None:
         self.log.error("a call failed by a fault of ours", error=failure.getErrorMessage())
-        self._ended(held, number, target, began, False, Outcome(hb.Status.RESET, why="fault"))
+        self._ended(held, number, target, began, Outcome(hb.Status.RESET, why="fault"))
 
-    def _ended(
-        self, held: _Held, number: int, target: str, began: int, slots_full: bool, outcome: Outcome
-    ) -> None:
+    def _ended(self, held: _Held, number: int, target: str, began: int, outcome: Outcome) -> None:
         message = held.submission.message
         held.out -= 1
         held.last = outcome
@@ -324,7 +378,9 @@
             code=outcome.reply.code if outcome.reply else None,
             why=outcome.why,
         )
-        over = held.over or outcome.status is hb.Status.OK
+        done = outcome.status is hb.Status.OK or outcome.over
+        over = held.over or done
+        self.keeper.ended(message, number, outcome.status, outcome.not_run)
         event = hb.AttemptEnded(
             message,
             number,
@@ -333,12 +389,13 @@
             took,
             over,
             outcome.wait_us,
-            slots_full,
+            outcome.slots_full,
             outcome.load,
             outcome.not_run,
         )
         self._happened(event)
-        if outcome.status is hb.Status.OK and not held.over:
+        if done and not held.over:
+            self.keeper.over(message)
             self._answer(held, Delivered(outcome.reply))
         elif held.over:
             self._forget(held)
--- a/honeybarrow/forward/outcome.py
+++ b/honeybarrow/forward/outcome.py
@@ -14,7 +14,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a call ended. ``wait_us``: the told wait. ``reply``: what the partner said, if it did."""
+    """How a call ended. ``wait_us``: the told wait. ``reply``: what the partner said, if it did.
+
+    ``over``: the partner says that the message has ended and nothing more is owed. ``slots_full``: it was not
+    sent, since the partner counts all slots of this forwarder as taken.
+    """
 
     status: Status
     not_run: bool = False
@@ -22,6 +26,8 @@
     load: tuple[float, ...] = ()
     reply: Reply | None = None
     why: str = ""
+    over: bool = False
+    slots_full: bool = False
 
 
 def of_reply(reply: Reply, phase: Phase) -> Outcome:
--- /dev/null
+++ b/honeybarrow/http/server.py
@@ -0,0 +1,153 @@
+"""The receiving side: bytes in, requests or the one error that ends the connection out."""
+
+from __future__ import annotations
+
+import enum
+import re
+from dataclasses import dataclass
+
+from honeybarrow.http.grammar import (
+    BODY_MOST,
+    HEAD_MOST,
+    GrammarError,
+    has_bare_line_feed,
+    parse_fields,
+    parse_length,
+)
+
+BUFFER_MOST = HEAD_MOST + BODY_MOST  # of what came ahead of an answer; reading pauses beyond it
+_START = re.compile(rb"([A-Z]{1,16}) (/[\x21-\x7e]{0,1023}) HTTP/1\.([01])")
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One whole request. ``close``: the client wants the connection closed after the answer."""
+
+    method: str
+    path: str
+    fields: dict[bytes, bytes]
+    body: bytes
+    close: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Bad:
+    """What came can't be read: answer so and close. Nothing that follows it is looked at."""
+
+    status: int
+    reason: str
+
+
+class Waiting(enum.Enum):
+    """What the reader waits for when it has no event."""
+
+    START = "start"  # nothing of a request has come
+    REST = "rest"  # a part of one has
+    ANSWER = "answer"  # the last one is to be answered before the next is read
+    NOTHING = "nothing"  # it has read what can't be read
+
+
+class RequestReader:
+    """Reads one request at a time; :meth:`answered` lets the next one through."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._head: tuple[str, str, dict[bytes, bytes], bool] | None = None
+        self._length = 0
+        self.state = Waiting.START
+
+    def receive(self, data: bytes) -> None:
+        """Take bytes; after an error they are dropped."""
+        if self.state is not Waiting.NOTHING:
+            self._buffer += data
+
+    @property
+    def crowded(self) -> bool:
+        """Whether so much came ahead of an answer that reading should pause."""
+        return len(self._buffer) >= BUFFER_MOST
+
+    def answered(self) -> None:
+        """The last request has its answer."""
+        if self.state is Waiting.ANSWER:
+            self.state = Waiting.START
+
+    def next_event(self) -> Request | Bad | None:
+        """The next whole request or error, if one has come."""
+        if self.state in (Waiting.ANSWER, Waiting.NOTHING):
+            return None
+        try:
+            return self._next()
+        except GrammarError as error:
+            return self._bad(400, str(error))
+
+    def _bad(self, status: int, reason: str) -> Bad:
+        self.state = Waiting.NOTHING
+        self._buffer.clear()
+        return Bad(status, reason)
+
+    def _next(self) -> Request | Bad | None:
+        buffer = self._buffer
+        if self._head is None:
+            end = buffer.find(b"\r\n\r\n", 0, HEAD_MOST)
+            if end < 0:
+                if len(buffer) >= HEAD_MOST:
+                    return self._bad(431, "head too long")
+                if has_bare_line_feed(buffer):
+                    return self._bad(400, "bare line feed")
+                line = buffer.find(b"\r\n")
+                if line >= 0 and _START.fullmatch(buffer[:line]) is None:
+                    return self._bad(400, "not a request line")
+                self.state = Waiting.REST if buffer else Waiting.START
+                return None
+            head = bytes(buffer[:end])
+            if has_bare_line_feed(head):
+                return self._bad(400, "bare line feed")
+            first, *lines = head.split(b"\r\n")
+            if (start := _START.fullmatch(first)) is None:
+                return self._bad(400, "not a request line")
+            fields = parse_fields(lines)
+            if b"transfer-encoding" in fields:
+                # Danger: with a length as well, the body may conceal a second request.
+                both = b"content-length" in fields
+                return self._bad(400, "length and encoding") if both else self._bad(411, "length required")
+            length = fields.get(b"content-length")
+            if length is None and start[1] == b"POST":
+                return self._bad(411, "length required")
+            self._length = parse_length(length) if length is not None else 0
+            if self._length > BODY_MOST:
+                return self._bad(413, "body too long")
+            close = start[3] == b"0" or b"close" in fields.get(b"connection", b"").lower()
+            self._head = (start[1].decode(), start[2].decode(), fields, close)
+            del buffer[: end + 4]
+        if len(buffer) < self._length:
+            self.state = Waiting.REST
+            return None
+        (method, path, fields, close), self._head = self._head, None
+        body = bytes(buffer[: self._length])
+        del buffer[: self._length]
+        self.state = Waiting.ANSWER
+        return Request(method, path, fields, body, close)
+
+
+def encode_response(status: int, fields: str = "", body: bytes = b"", close: bool = False) -> bytes:
+    """One answer; ``fields`` are whole lines, each with its line end."""
+    ending = "Connection: close\r\n" if close else ""
+    reason = REASONS.get(status, "")
+    head = f"HTTP/1.1 {status} {reason}\r\n{fields}Content-Length: {len(body)}\r\n{ending}\r\n"
+    return head.encode("ascii") + body
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -158,7 +158,11 @@
 
 @dataclass(slots=True, frozen=True)
 class MessageArrived:
-    """A message was taken and is owed one final answer."""
+    """A message was taken and is owed one final answer.
+
+    One that was taken by an earlier life of the process brings its past: the attempts it has had, and how
+    long ago (microseconds) the first that may have run was sent, if one was.
+    """
 
     message: str
     class_name: str
@@ -167,6 +171,8 @@
     tenant: str = ""
     key: int | None = None
     repeat: bool = False
+    attempts: int = 0
+    doubt_us: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/honeybarrow/node/desk.py
@@ -0,0 +1,165 @@
+"""Between the front and the core: requests to submissions, ends to answers and notices."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from honeybarrow import http, intake
+from honeybarrow.forward import Answer, Delivered, Failed, Forwarder, Refused, Submission, ignore_cancelled
+from honeybarrow.node.calls import Parcel
+from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
+from honeybarrow.node.reports import Reports
+from honeybarrow.node.store import Journal
+from honeybarrow.recovery import Ending, Resume
+
+SEEN_MOST = 4096  # ids that are remembered after their end, so that none is taken for a new message
+Reply = Callable[[bytes, bool], None]
+
+
+def _retry_after(wait_us: int) -> str:
+    return f"Retry-After: {wait_us / 1e6:.3f}\r\n" if wait_us > 0 else ""
+
+
+class Desk:
+    """Takes clients' requests. ``listed`` tells whether a destination has been in the list."""
+
+    def __init__(
+        self,
+        core: Forwarder,
+        journal: Journal,
+        reports: Reports,
+        wall_us: Callable[[], int],
+        listed: Callable[[int], bool],
+        rng: random.Random,
+    ) -> None:
+        self.core, self.journal, self.reports = core, journal, reports
+        self.wall_us, self.listed, self.rng = wall_us, listed, rng
+        self.tenants = {tenant.name: None for tenant in core.settings.tenants}
+        self.ready = False
+        self.stopping = False
+        self._seen: OrderedDict[str, None] = OrderedDict()
+
+    def request(self, request: http.Request, reply: Reply) -> Callable[[], None] | None:
+        """Answer a request, at once or once its message is kept; what is returned withdraws it."""
+        path = request.path.split("?")[0]
+        if path == "/up":
+            if request.method not in ("GET", "HEAD"):
+                reply(http.encode_response(405, close=True), True)
+            else:
+                reply(http.encode_response(200 if self.ready and not self.stopping else 503), False)
+            return None
+        if request.method != "POST":
+            reply(http.encode_response(404 if request.method == "GET" else 405, close=True), True)
+            return None
+        handed = read_request(request, self.core.sender.classes, self.tenants)
+        if isinstance(handed, NotTaken):
+            reply(http.encode_response(handed.status, body=handed.reason.encode(), close=True), True)
+            return None
+        return self._hand_in(handed, reply)
+
+    def _turn_away(self, reply: Reply, why: str) -> None:
+        wait_us = intake.turn_away_us(0, self.core.settings.max_retry_after_us, self.rng)
+        reply(http.encode_response(503, _retry_after(wait_us), why.encode()), False)
+
+    def _hand_in(self, handed: HandedIn, reply: Reply) -> Callable[[], None] | None:
+        message = handed.message
+        if message in self._seen or self.core.holds(message):
+            reply(http.encode_response(409, body=b"this id is known"), False)
+            return None
+        if not self.ready:
+            self._turn_away(reply, "not ready")
+            return None
+        if not self.listed(handed.destination):
+            # It may be new, and the news of it late: so this is no error for good.
+            self._turn_away(reply, "destination not listed")
+            return None
+        if not self.journal.has_room(message, len(handed.body)):
+            self._turn_away(reply, "no room on disk")
+            return None
+        self._see(message)
+        accepted = False
+
+        def accept() -> None:
+            nonlocal accepted
+            accepted = True
+            reply(http.encode_response(202), False)
+
+        def over(answer: Answer) -> None:
+            if accepted:
+                self._ended(message, answer)
+            elif isinstance(answer, Refused):
+                reply(http.encode_response(429, _retry_after(answer.wait_us), answer.why.encode()), False)
+            else:
+                reply(http.encode_response(500), False)
+
+        end_us = self.wall_us() + handed.left_us
+        parcel = Parcel(message, handed.idempotency_key, handed.body, end_us)
+        done = self.core.submit(
+            Submission(
+                message,
+                handed.class_name,
+                handed.destination,
+                handed.left_us,
+                parcel,
+                handed.tenant,
+                None,
+                handed.repeat,
+                accept,
+            )
+        )
+        done.addCallbacks(over, ignore_cancelled)
+        # A client that leaves before its 202 comes again under another id; after it, leaving means nothing.
+        return lambda: None if accepted else _cancel(done)
+
+    def _see(self, message: str) -> None:
+        self._seen[message] = None
+        if len(self._seen) > SEEN_MOST:
+            self._seen.popitem(last=False)
+
+    def resume(self, step: Resume) -> None:
+        """A message of an earlier life goes on."""
+        taken = step.taken
+        self._see(taken.message)
+        parcel = Parcel(taken.message, taken.idempotency_key, taken.body, taken.end_us)
+        done = self.core.submit(
+            Submission(
+                taken.message,
+                taken.class_name,
+                taken.destination,
+                step.left_us,
+                parcel,
+                taken.tenant,
+                attempts=step.attempts,
+                doubt_us=step.doubt_us,
+            )
+        )
+        done.addCallback(lambda answer: self._ended(taken.message, answer))
+
+    def end(self, ending: Ending) -> None:
+        """A message ends by a notice, and by that one for good."""
+        self.journal.ending(ending)
+        self.reports.add(ending)
+
+    def _ended(self, message: str, answer: Answer) -> None:
+        match answer:
+            case Delivered():
+                pass
+            case Refused(wait_us):
+                self.end(Ending(message, True, wait_us // 1000))
+            case Failed(within_us=within_us, wait_us=wait_us):
+                # Handing in again is harmless inside the key's window, which the client knows.
+                self.end(Ending(message, within_us is not None, wait_us // 1000))
+
+    def noticed(self, messages: list[str]) -> None:
+        """The platform has taken these notices."""
+        for message in messages:
+            self.journal.over(message)
+        self.journal.commit()
+
+
+def _cancel(done: Deferred[Answer]) -> None:
+    done.cancel()
--- /dev/null
+++ b/honeybarrow/node/discovery.py
@@ -0,0 +1,165 @@
+"""The watch of discovery's list: opened when the module asks, told line by line, given up when it is dead.
+
+The module decides when to ask again; here is only what the connection tells. One watch at a time.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from honeybarrow import http
+from honeybarrow import interface as hb
+from honeybarrow.node.listing import ListError, Listing, parse_line
+from honeybarrow.seams import Clock, Delayed, Network
+
+ANSWER_S = 2.5  # for the head of the answer, from the begin of the connect
+QUIET_S = 4.5  # without a line, where an empty one comes every two seconds, a watch is dead
+LINE_MOST = 4 << 20  # bytes of one line
+log = logging.getLogger("honeybarrow.node")
+
+
+class _Watch(Protocol):
+    """One connection that carries a watch."""
+
+    transport: Any = None
+
+    def __init__(self, discovery: Discovery, host: str, version: int | None) -> None:
+        self.discovery, self.host, self.version = discovery, host, version
+        self.reader = http.ResponseReader()
+        self.line = bytearray()
+        self.over = False
+
+    def connectionMade(self) -> None:
+        if self.over:
+            self.transport.abortConnection()
+            return
+        since = "" if self.version is None else f"&index={self.version}"
+        request = http.encode_request("GET", f"/discovery/hosts?stream=1{since}", f"Host: {self.host}\r\n")
+        self.transport.write(request)
+
+    def dataReceived(self, data: bytes) -> None:
+        for event in self.reader.receive(data):
+            if self.over:
+                return
+            match event:
+                case http.Head(status) if status != 200:
+                    self.discovery.failed(self, f"discovery answers {status}")
+                case http.Head():
+                    self.discovery.heard(self)
+                case http.Data(part):
+                    self._lines(part)
+                case http.Complete() | http.Broken():
+                    self.discovery.failed(self, "the watch has ended")
+
+    def _lines(self, part: bytes) -> None:
+        self.discovery.heard(self)
+        self.line += part
+        if len(self.line) > LINE_MOST:
+            self.discovery.failed(self, "a line of the list is too long")
+            return
+        *lines, rest = self.line.split(b"\n")
+        self.line = bytearray(rest)
+        for line in lines:
+            if line.strip() and not self.over:
+                try:
+                    listing = parse_line(bytes(line))
+                except ListError as error:
+                    self.discovery.failed(self, str(error))
+                    return
+                self.discovery.told(listing)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.discovery.failed(self, reason.getErrorMessage())
+
+
+class _Factory(ClientFactory):
+    noisy = False
+
+    def __init__(self, watch: _Watch) -> None:
+        self.watch = watch
+
+    def buildProtocol(self, addr: Any) -> _Watch:
+        return self.watch
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.watch.connectionLost(reason)
+
+
+class Discovery:
+    """The list of targets as discovery tells it. ``told`` gets each item, ``lost`` that the watch is gone."""
+
+    def __init__(
+        self,
+        network: Network,
+        clock: Clock,
+        place: tuple[str, int],
+        version: int | None,
+        told: Callable[[Listing], None],
+        lost: Callable[[hb.MembershipNews], None],
+    ) -> None:
+        self.network, self.clock, self.place = network, clock, place
+        self.version = version
+        self._told, self._lost = told, lost
+        self._watch: _Watch | None = None
+        self._timer: Delayed | None = None
+        self._asked = False  # the module wants to be told
+
+    def subscribe(self) -> None:
+        """Open a watch, unless one is open."""
+        self._asked = True
+        if self._watch is None:
+            self._open()
+
+    def move(self, place: tuple[str, int]) -> None:
+        """Discovery answers elsewhere now: watch there at once, from the version held."""
+        if place == self.place:
+            return
+        self.place = place
+        self.close()
+        if self._asked:
+            self._open()
+
+    def close(self) -> None:
+        """End the watch."""
+        watch, self._watch = self._watch, None
+        self._set_timer(None)
+        if watch is not None:
+            watch.over = True
+            if watch.transport is not None:
+                watch.transport.abortConnection()
+
+    def _open(self) -> None:
+        host, port = self.place
+        self._watch = watch = _Watch(self, host, self.version)
+        self._set_timer(ANSWER_S)
+        self.network.connectTCP(host, port, _Factory(watch), timeout=ANSWER_S)
+
+    def _set_timer(self, seconds: float | None) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        if seconds is not None:
+            self._timer = self.clock.callLater(seconds, self.failed, self._watch, "nothing comes")
+
+    def heard(self, watch: _Watch) -> None:
+        """Something came on the watch."""
+        if watch is self._watch:
+            self._set_timer(QUIET_S)
+
+    def told(self, listing: Listing) -> None:
+        """An item of the list has come."""
+        self.version = listing.version
+        self._told(listing)
+
+    def failed(self, watch: _Watch, why: str) -> None:
+        """The watch is of no further use."""
+        if watch is not self._watch:
+            return
+        log.info("discovery: %s", why)
+        self.close()
+        self._lost(hb.MembershipNews(hb.ListKind.FAILED, self.version or 0))
--- /dev/null
+++ b/honeybarrow/node/front.py
@@ -0,0 +1,218 @@
+"""Where clients connect: connections with their bounds, requests to the desk, answers back."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import Protocol as Connection
+from twisted.python.failure import Failure
+
+from honeybarrow import http
+from honeybarrow.node.wire import write_now
+from honeybarrow.seams import Clock
+
+SILENT_S = 2.0  # from connecting to the first whole request: an answer or a close is owed within 3 s
+REQUEST_S = 2.0  # from the first byte of a later request to its last
+QUIET_S = 2.0  # after which a connection without an open request may be closed when room runs out
+LINGER_S = 0.3  # to read on after an error, so that a reset does not eat the answer
+LINGER_MOST = 1 << 18  # bytes of that
+SWEEP_S = 0.2
+BATCH = 4  # requests of one connection that are gone through in one go
+
+
+class Desk(Protocol):
+    """Takes requests."""
+
+    def request(
+        self, request: http.Request, reply: Callable[[bytes, bool], None]
+    ) -> Callable[[], None] | None:
+        """Answer by ``reply(bytes, close)``, now or later; what is returned withdraws the request."""
+
+    @property
+    def stopping(self) -> bool: ...
+
+
+class ClientConnection(Connection):
+    """One client's connection."""
+
+    transport: Any = None
+
+    def __init__(self, front: Front, number: int) -> None:
+        self.front, self.number = front, number
+        self.reader = http.RequestReader()
+        self.withdraw: Callable[[], None] | None = None
+        self.open = False  # a request waits for its answer
+        self.served = False  # one has been answered
+        self.since = front.clock.seconds()  # of connecting, of the last answer, or of a request's first byte
+        self.ending = False
+        self.lingered = 0
+        self.paused = False
+        self.again = False  # a look at what came is due
+        self.last = False  # the client wants the connection closed after the answer
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.front.opened(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.ending:
+            self.lingered += len(data)
+            if self.lingered > LINGER_MOST:
+                self.transport.abortConnection()
+            return
+        if self.served and not self.open and self.reader.state is http.Waiting.START:
+            self.since = self.front.clock.seconds()
+        self.reader.receive(data)
+        if self.reader.crowded and not self.paused:
+            self.paused = True
+            self.transport.pauseProducing()
+        if not self.open and not self.again:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        self.again = False
+        for _ in range(BATCH):
+            if self.ending or self.open:
+                return
+            event = self.reader.next_event()
+            if event is None:
+                return
+            if isinstance(event, http.Bad):
+                self.front.bad += 1
+                self._end(http.encode_response(event.status, close=True))
+                return
+            self.open = True
+            self.last = event.close
+            withdraw = self.front.desk.request(event, self._answer)  # the answer may come before this returns
+            self.withdraw = withdraw if self.open else None
+        if not self.open and not self.ending and self.reader.state is not http.Waiting.REST:
+            # Danger: hundreds of requests at once on one connection would hold up all others.
+            self.again = True
+            self.front.clock.callLater(0, self._go_on)
+
+    def _answer(self, data: bytes, close: bool) -> None:
+        if not self.open:
+            return
+        self.open, self.withdraw, self.served = False, None, True
+        self.since = self.front.clock.seconds()
+        self.reader.answered()
+        if self.paused:
+            self.paused = False
+            self.transport.resumeProducing()
+        if close or self.last or self.front.desk.stopping:
+            self._end(data)
+            return
+        self._write(data)
+        self.front.answered(self)
+        if not self.again:
+            self.again = True
+            self.front.clock.callLater(0, self._go_on)
+
+    def _write(self, data: bytes) -> None:
+        try:
+            write_now(self.transport, data)
+        except OSError:
+            self.transport.abortConnection()
+
+    def _end(self, data: bytes) -> None:
+        """Answer, end our sending, and read on for a moment."""
+        self.ending = True
+        self.since = self.front.clock.seconds()
+        self._write(data)
+        self.transport.loseWriteConnection()
+
+    def refuse(self, status: int) -> None:
+        """End a connection whose request did not come in time."""
+        self._end(http.encode_response(status, close=True))
+
+    def close(self) -> None:
+        """Close between requests."""
+        self.ending = True
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.front.closed(self)
+        withdraw, self.withdraw = self.withdraw, None
+        if withdraw is not None:
+            withdraw()
+        self.open, self.ending = False, True
+
+
+class Front(Factory):
+    """The connections of all clients. ``most``: how many are held at once."""
+
+    noisy = False
+
+    def __init__(self, clock: Clock, desk: Desk, most: int) -> None:
+        self.clock, self.desk, self.most = clock, desk, most
+        self.connections: OrderedDict[int, ClientConnection] = OrderedDict()  # least recently answered first
+        self.numbers = 0
+        self.bad = 0
+        self.turned_off = 0
+        clock.callLater(SWEEP_S, self._sweep)
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        self.numbers += 1
+        return ClientConnection(self, self.numbers)
+
+    def opened(self, connection: ClientConnection) -> None:
+        """A client has connected; the one that needs its place least makes room."""
+        if len(self.connections) >= self.most:
+            self.turned_off += 1
+            victim = self._victim()
+            if victim is None:
+                connection.ending = True
+                connection.transport.abortConnection()
+                return
+            self.connections.pop(victim.number, None)
+            victim.ending = True
+            victim.transport.abortConnection()
+        self.connections[connection.number] = connection
+
+    def _victim(self) -> ClientConnection | None:
+        quiet = self.clock.seconds() - QUIET_S
+        served = None
+        for each in self.connections.values():
+            if each.ending:
+                return each
+            if each.open:
+                continue
+            if not each.served:
+                return each
+            if served is None and each.since < quiet:
+                served = each
+        return served
+
+    def answered(self, connection: ClientConnection) -> None:
+        """An answer went out."""
+        if connection.number in self.connections:
+            self.connections.move_to_end(connection.number)
+
+    def closed(self, connection: ClientConnection) -> None:
+        """A connection is gone."""
+        self.connections.pop(connection.number, None)
+
+    def stop(self) -> None:
+        """Close what is between requests; what is open is answered first."""
+        for each in list(self.connections.values()):
+            if not each.open and not each.ending and each.reader.state is http.Waiting.START:
+                each.close()
+
+    def _sweep(self) -> None:
+        now = self.clock.seconds()
+        for each in list(self.connections.values()):
+            age = now - each.since
+            if each.ending:
+                if age > LINGER_S:
+                    each.transport.abortConnection()
+            elif each.open:
+                continue
+            elif each.reader.state is http.Waiting.REST:
+                if age > REQUEST_S:
+                    each.refuse(408)
+            elif not each.served and age > SILENT_S:
+                each.close()
+        self.clock.callLater(SWEEP_S, self._sweep)
--- /dev/null
+++ b/honeybarrow/node/main.py
@@ -0,0 +1,285 @@
+"""One forwarder on the platform: the parts put together, signals, and the end. Names the reactor."""
+
+from __future__ import annotations
+
+import logging
+import os
+import random
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from honeybarrow import collector
+from honeybarrow import interface as hb
+from honeybarrow.forward import Forwarder, Submission
+from honeybarrow.node import signals
+from honeybarrow.node.calls import CallPool, Place
+from honeybarrow.node.config import Config, ConfigError, read_config
+from honeybarrow.node.desk import Desk
+from honeybarrow.node.discovery import Discovery
+from honeybarrow.node.front import Front
+from honeybarrow.node.listing import Listing
+from honeybarrow.node.reports import Reports
+from honeybarrow.node.store import Journal
+from honeybarrow.recovery import STOP_US, Resume, may_begin, plan
+
+DISK_SHARE = 0.8  # of the folder's bound that the journal may take
+DESCRIPTORS_OWN = 24  # the journal, the reactor, the log, the listener, discovery and notices
+IDLE_TARGETS_SHARE = 0.2  # of the descriptors that may be idle connections to targets
+PULSE_S = 10.0
+LAG_S = 0.1  # between looks at how late the loop is
+STOP_LEAST_S = 0.6  # new connections come for so long after SIGTERM
+log = logging.getLogger("honeybarrow.node")
+
+
+class PlainLog:
+    """The core's logger on the standard library's. Nothing that comes with each message is written."""
+
+    PER_MESSAGE = frozenset(("delivered", "refused", "failed", "withdrawn", "turned away", "not sent"))
+
+    def debug(self, event: str, **fields: Any) -> None: ...
+
+    def info(self, event: str, **fields: Any) -> None:
+        if event not in self.PER_MESSAGE:
+            log.info("%s %s", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        if event not in self.PER_MESSAGE:
+            log.warning("%s %s", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        log.error("%s %s", event, fields)
+
+
+class Targets:
+    """Where the targets of the list listen, and which of them may be sent new work."""
+
+    def __init__(self) -> None:
+        self.places: dict[str, Place] = {}
+        self.ready: dict[str, None] = {}
+        self.destinations: dict[int, None] = {}  # ever listed in this life; bounded by what discovery lists
+
+    def take(self, listing: Listing) -> list[str]:
+        """Take an item of the list; the targets whose idle connections are of no further use."""
+        named = {endpoint.target: None for endpoint in listing.endpoints}
+        left = [target for target in self.places if listing.whole and target not in named]
+        for endpoint in listing.endpoints:
+            target, place = endpoint.target, listing.addresses.get(endpoint.target)
+            if endpoint.state is hb.EndpointState.GONE or place is None:
+                left.append(target)
+                self._drop(target)
+                continue
+            self.destinations[endpoint.destination] = None
+            if self.places.get(target, place) != place:
+                left.append(target)
+            self.places[target] = place
+            if endpoint.state is hb.EndpointState.READY:
+                self.ready[target] = None
+            else:
+                self.ready.pop(target, None)
+        for target in left:
+            if target not in named:
+                self._drop(target)
+        return left
+
+    def _drop(self, target: str) -> None:
+        self.places.pop(target, None)
+        self.ready.pop(target, None)
+
+    def where(self, target: str) -> list[Place]:
+        """The address of a target that may be sent new work, else nothing."""
+        return [self.places[target]] if target in self.ready else []
+
+    def wanted(self, target: str) -> bool:
+        """Whether it may be sent new work."""
+        return target in self.ready
+
+    def listed(self, destination: int) -> bool:
+        """Whether a destination has been in the list."""
+        return destination in self.destinations
+
+
+class Node:
+    """One forwarder process's parts."""
+
+    def __init__(
+        self,
+        config: Config,
+        reactor: Any,
+        now_us: Callable[[], int],
+        wall_us: Callable[[], int],
+        crashed: Callable[[Exception], None],
+    ) -> None:
+        self.config, self.reactor, self.now_us = config, reactor, now_us
+        settings, sockets = config.settings, config.limits.sockets
+        self.journal = Journal(config.state, int(config.limits.disk_bytes * DISK_SHARE), wall_us)
+        self.targets = Targets()
+        idle_most = max(4, int(sockets * IDLE_TARGETS_SHARE))
+        self.pool = CallPool(
+            reactor,
+            reactor,
+            settings.connect_timeout_us,
+            settings.idle_us,
+            idle_most,
+            settings.load_fields,
+            self.targets.wanted,
+        )
+        self.stopped_us: int | None = None
+        self.core = Forwarder(
+            settings,
+            config.seed,
+            reactor,
+            now_us,
+            self.pool,
+            self.targets.where,
+            lambda: self.discovery.subscribe(),
+            PlainLog(),
+            crashed,
+            keeper=self.journal,
+            may_begin=self._may_begin,
+        )
+        self.discovery = Discovery(
+            reactor, reactor, config.discovery, config.known.version, self._told, self.core.news
+        )
+        self.reports = Reports(
+            reactor, reactor, config.discovery, self.journal.commit, lambda taken: self.desk.noticed(taken)
+        )
+        rng = random.Random(config.seed)
+        self.desk = Desk(self.core, self.journal, self.reports, wall_us, self.targets.listed, rng)
+        clients = max(16, sockets - DESCRIPTORS_OWN - idle_most - min(settings.slots, sockets // 4))
+        self.front = Front(reactor, self.desk, clients)
+        self.port: Any = None
+        self._lag = 0.0
+        self._looked = 0.0
+        self._wall_us = wall_us
+
+    def start(self) -> None:
+        """Listen, go on with what an earlier life had taken on, and then be ready."""
+        host, port = self.config.listen
+        self.port = self.reactor.listenTCP(port, self.front, backlog=512, interface=host)
+        self.targets.take(self.config.known)
+        self.core.news(self.config.known.news(hb.ListKind.SAVED))
+        steps = plan(
+            list(self.journal.ledger.entries.values()), self.core.sender.classes, self._wall_us()
+        )
+        for step in steps:
+            if isinstance(step, Resume):
+                self.desk.resume(step)
+            else:
+                self.desk.end(step)
+        resumed = sum(isinstance(step, Resume) for step in steps)
+        if steps:
+            log.info("of an earlier life: %d go on, %d end", resumed, len(steps) - resumed)
+        self.reactor.callLater(0, self._be_ready)
+        self._looked = self.reactor.seconds()
+        self.reactor.callLater(LAG_S, self._look)
+        self.reactor.callLater(PULSE_S, self._pulse)
+
+    def _be_ready(self) -> None:
+        self.desk.ready = True
+        log.info("ready: %s at %s:%d", self.config.name, *self.config.listen)
+
+    def _told(self, listing: Listing) -> None:
+        for target in self.targets.take(listing):
+            self.pool.close_idle(target)
+        self.core.news(listing.news())
+
+    # signals
+
+    def signal(self, what: str) -> None:
+        """SIGHUP or SIGTERM, in the reactor's thread."""
+        if what == "reload":
+            self.reload()
+        elif self.stopped_us is None:
+            self.stop()
+
+    def reload(self) -> None:
+        """Read the configuration again: discovery may answer elsewhere. The rest stays as it started."""
+        try:
+            config = read_config(os.environ)
+        except ConfigError as error:
+            log.error("reload: %s; the old configuration stays", error)
+            return
+        log.info("reload: discovery at %s:%d", *config.discovery)
+        self.discovery.move(config.discovery)
+        self.reports.move(config.discovery)
+
+    def _may_begin(self, submission: Submission) -> bool:
+        since = None if self.stopped_us is None else self.now_us() - self.stopped_us
+        return may_begin(self.core.sender.classes[submission.class_name].effect, since)
+
+    def stop(self) -> None:
+        """Serve what is held as long as there is time; what is left is kept for the next life."""
+        self.stopped_us = self.now_us()
+        self.desk.stopping = True
+        self.front.stop()
+        log.info("stopping: held %d, calls %d", self.core.open, self.core.calls)
+        self._check_stop()
+
+    def _check_stop(self) -> None:
+        assert self.stopped_us is not None
+        since = self.now_us() - self.stopped_us
+        done = self.core.open == 0 and not self.reports.waiting and since > STOP_LEAST_S * 1e6
+        if done or since > STOP_US - 150_000:
+            log.info("stopped: %d kept for the next life", len(self.journal.ledger.entries))
+            self.journal.close()
+            self.reactor.stop()
+            return
+        self.reactor.callLater(0.05, self._check_stop)
+
+    # measuring
+
+    def _look(self) -> None:
+        now = self.reactor.seconds()
+        self._lag = max(self._lag, now - self._looked - LAG_S)
+        self._looked = now
+        self.reactor.callLater(LAG_S, self._look)
+
+    def _pulse(self) -> None:
+        counts = self.core.counts
+        log.info(
+            "pulse lag_ms=%d held=%d calls=%d clients=%d idle=%d connects=%d notices=%d journal=%d rss_kb=%d "
+            "taken=%d turned_away=%d delivered=%d refused=%d failed=%d bad=%d outcomes=%s",
+            self._lag * 1000, self.core.open, self.core.calls, len(self.front.connections), self.pool.idle,
+            self.pool.connects, len(self.reports.waiting), self.journal.bytes, _rss_kb(),
+            counts.taken, counts.turned_away, counts.delivered, counts.refused, counts.failed,
+            self.front.bad, counts.outcomes,
+        )  # fmt: skip
+        self._lag = 0.0
+        self.reactor.callLater(PULSE_S, self._pulse)
+
+
+def _rss_kb() -> int:
+    try:
+        with open("/proc/self/statm") as file:
+            return int(file.read().split()[1]) * 4
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+def main() -> int:
+    """Run one forwarder until SIGTERM; the exit status."""
+    form = "%(asctime)s.%(msecs)03d %(message)s"
+    logging.basicConfig(stream=sys.stdout, level=logging.INFO, format=form, datefmt="%H:%M:%S")
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        log.error("honeybarrow.node: %s", error)
+        return 2
+    from twisted.internet import reactor as own_reactor
+
+    reactor: Any = own_reactor
+    failures: list[Exception] = []
+
+    def crashed(error: Exception) -> None:
+        failures.append(error)
+        log.error("the decision module failed", exc_info=error)
+        reactor.stop()
+
+    node = Node(config, reactor, lambda: time.monotonic_ns() // 1000, lambda: time.time_ns() // 1000, crashed)
+    collector.calm()
+    reactor.callWhenRunning(node.start)
+    reactor.callWhenRunning(signals.deliver, lambda what: reactor.callFromThread(node.signal, what))
+    reactor.run(installSignalHandlers=False)
+    return 1 if failures else 0
--- /dev/null
+++ b/honeybarrow/node/store.py
@@ -0,0 +1,194 @@
+"""The journal's files: append-only segments in the folder that lasts.
+
+Segments go from the oldest on: a later record never outlives the message that it speaks of. When the files
+come near their bound, the messages still owed in the oldest segment are copied forward, each as one record,
+and the segment goes. What was written with ``write`` outlasts the process; nothing is synced.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from honeybarrow.interface import Status
+from honeybarrow.node.records import decode, encode, size_of
+from honeybarrow.recovery import Began, Ended, Ending, Entry, Ledger, Over, Record, Taken
+
+BLOCK = 512  # bytes in which the platform counts a file
+SEGMENTS = 16  # of this many segments the bound is made
+LIVE_SHARE = 0.35  # part of the bound that messages still owed may take
+COMPACT_SHARE = 0.5  # part of the bound at which the oldest segment is copied forward
+log = logging.getLogger("honeybarrow.node")
+
+
+class Journal:
+    """What was taken on and is owed its end, in ``folder``. ``bound``: bytes that its files may take."""
+
+    def __init__(self, folder: str, bound: int, wall_us: Callable[[], int]) -> None:
+        self.folder, self.bound, self.wall_us = folder, bound, wall_us
+        self.segment_most = max(4 * BLOCK, bound // SEGMENTS)
+        self.ledger = Ledger()
+        self.failed = False  # a write has failed: nothing more is taken on
+        self._pending: list[Record] = []
+        self._sizes: OrderedDict[int, int] = OrderedDict()  # bytes of each segment, oldest first
+        self._homes: dict[str, int] = {}  # the segment that holds a message's record of taking
+        self._in: dict[int, dict[str, None]] = {}  # and the messages of each
+        self._asked = 0  # and what was let in since the last commit
+        self._live = 0  # bytes that messages still owed take at most
+        self._fd = -1
+        self._read()
+        self._roll()
+
+    # reading
+
+    def _path(self, number: int) -> str:
+        return os.path.join(self.folder, f"journal-{number:08d}")
+
+    def _read(self) -> None:
+        numbers = []
+        for name in os.listdir(self.folder):
+            kind, _, digits = name.partition("-")
+            if kind == "journal" and digits.isdigit():
+                numbers.append(int(digits))
+        for number in sorted(numbers):
+            try:
+                with open(self._path(number), "rb") as file:
+                    data = file.read()
+            except OSError as error:
+                log.error("journal: segment %d can't be read: %s", number, error)
+                data = b""
+            self._sizes[number] = len(data)
+            for record in decode(data):
+                self._apply(record, number)
+
+    def _apply(self, record: Record, number: int) -> None:
+        message = record.message
+        self.ledger.apply(record)
+        if isinstance(record, Taken):
+            self._release(message)
+            self._homes[message] = number
+            self._in.setdefault(number, {})[message] = None
+            self._live += size_of(message, len(record.body))
+        elif isinstance(record, Over):
+            self._release(message)
+
+    def _release(self, message: str) -> None:
+        home = self._homes.pop(message, None)
+        if home is not None:
+            del self._in[home][message]
+
+    # room
+
+    @property
+    def bytes(self) -> int:
+        """What the files take, as the platform counts."""
+        return sum(-(-size // BLOCK) * BLOCK for size in self._sizes.values())
+
+    def has_room(self, message: str, body: int) -> bool:
+        """Whether one more message can be kept to its end; it is counted at once if so."""
+        size = size_of(message, body)
+        if self.failed or self._live + self._asked + size > LIVE_SHARE * self.bound:
+            return False
+        self._asked += size
+        return True
+
+    # what happens: see ``honeybarrow.seams.Keeper``
+
+    def record(self, record: Record) -> None:
+        """Remember a record for the next commit."""
+        if isinstance(record, Taken) or record.message in self._homes:
+            self._pending.append(record)
+            if isinstance(record, Taken):
+                self._homes.setdefault(record.message, -1)
+                self._in.setdefault(-1, {})[record.message] = None
+
+    def taken(self, submission: Any) -> None:
+        if submission.message in self._homes:
+            return  # of an earlier life, and kept since
+        parcel = submission.parcel
+        self.record(
+            Taken(
+                submission.message,
+                submission.class_name,
+                submission.destination,
+                parcel.end_us,
+                submission.tenant,
+                parcel.idempotency_key,
+                parcel.body,
+            )
+        )
+
+    def began(self, message: str, attempt: int) -> None:
+        self.record(Began(message, attempt, self.wall_us()))
+
+    def ended(self, message: str, attempt: int, status: Status, not_run: bool) -> None:
+        if status is not Status.OK:  # its end is recorded next
+            self.record(Ended(message, attempt, not_run))
+
+    def ending(self, ending: Ending) -> None:
+        """The final answer that a notice is to tell."""
+        self.record(ending)
+
+    def over(self, message: str) -> None:
+        self.record(Over(message))
+
+    def commit(self) -> None:
+        """Write what happened since the last commit, in one write."""
+        self._asked = 0
+        if not self._pending:
+            return
+        records, self._pending = self._pending, []
+        self._write(records)
+        self._trim()
+
+    def _write(self, records: list[Record]) -> None:
+        data = b"".join(map(encode, records))
+        number = next(reversed(self._sizes))
+        try:
+            done = os.write(self._fd, data)
+            if done < len(data):
+                raise OSError("short write")
+        except OSError as error:
+            if not self.failed:
+                log.error("journal: can't write, nothing more is taken on: %s", error)
+            self.failed = True
+        self._sizes[number] += len(data)
+        for record in records:
+            entry = self.ledger.entries.get(record.message)
+            if isinstance(record, Over | Taken) and entry is not None:
+                self._live -= size_of(record.message, len(entry.taken.body))
+            self._apply(record, number)
+        if self._sizes[number] >= self.segment_most:
+            self._roll()
+
+    def _roll(self) -> None:
+        if self._fd >= 0:
+            os.close(self._fd)
+        number = next(reversed(self._sizes), 0) + 1
+        self._fd = os.open(self._path(number), os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        self._sizes[number] = 0
+
+    def _trim(self) -> None:
+        while len(self._sizes) > 1:
+            oldest = next(iter(self._sizes))
+            held = self._in.get(oldest)
+            if held and self.bytes < COMPACT_SHARE * self.bound:
+                return
+            if held:
+                entries: list[Entry] = [self.ledger.entries[message] for message in held]
+                self._write([entry.forward() for entry in entries])
+            self._in.pop(oldest, None)
+            del self._sizes[oldest]
+            try:
+                os.unlink(self._path(oldest))
+            except OSError as error:
+                log.error("journal: segment %d can't be removed: %s", oldest, error)
+
+    def close(self) -> None:
+        """Write what is left and close."""
+        self.commit()
+        os.close(self._fd)
+        self._fd = -1
--- a/honeybarrow/observe.py
+++ b/honeybarrow/observe.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from opentelemetry import trace
 from opentelemetry.sdk.trace import SpanProcessor, TracerProvider
@@ -16,35 +16,10 @@
 from opentelemetry.trace import Status, StatusCode
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0, 60.0)
-
-
-class Observer(Protocol):
-    """What is told of a message. Times are microseconds."""
-
-    def taken(self, message: str, class_name: str, partner: str, left_us: int) -> None: ...
-
-    def attempt(self, message: str, number: int, target: str) -> None: ...
-
-    def ended(self, message: str, number: int, status: str, took_us: int, why: str) -> None: ...
-
-    def answered(self, message: str, answer: str, took_us: int, called_us: int, left_us: int) -> None: ...
-
-    def turned_away(self, why: str) -> None: ...
+from honeybarrow.seams import Nobody, Observer
 
-
-class Nobody:
-    """Observes nothing."""
-
-    def taken(self, message: str, class_name: str, partner: str, left_us: int) -> None: ...
-
-    def attempt(self, message: str, number: int, target: str) -> None: ...
-
-    def ended(self, message: str, number: int, status: str, took_us: int, why: str) -> None: ...
-
-    def answered(self, message: str, answer: str, took_us: int, called_us: int, left_us: int) -> None: ...
-
-    def turned_away(self, why: str) -> None: ...
+__all__ = ["Both", "Metrics", "Nobody", "Observer", "Spans"]
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0, 60.0)
 
 
 class Both:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -11,6 +11,7 @@
 
 from honeybarrow import drill
 from honeybarrow import interface as hb
+from honeybarrow.settings import read_settings
 
 OPTIONS = {
     "services": [
@@ -129,7 +130,7 @@
 
 
 def test_settings_and_events_keep_their_values() -> None:
-    read = drill.read_settings(json.dumps(OPTIONS))
+    read = read_settings(json.dumps(OPTIONS))
     assert (read.slots, read.max_open, read.attempt_cap) == (4, 20, 3)
     assert read.kinds == (hb.Kind("shop", 2, False),)
     assert read.classes[1].effect is hb.Effect.UNSAFE
