--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -178,7 +178,13 @@
 
     def _be_ready(self) -> None:
         self.desk.ready = True
+        s = self.config.settings
         log.info("ready: %s at %s:%d", self.config.name, *self.config.listen)
+        log.info(
+            "settings: slots=%d max_open=%d sockets=%d clients=%d idle_s=%.1f connect_s=%.1f senders=%d",
+            s.slots, s.max_open, self.config.limits.sockets, self.front.most, s.idle_us / 1e6,
+            s.connect_timeout_us / 1e6, s.senders,
+        )  # fmt: skip
 
     def _told(self, listing: Listing) -> None:
         for target in self.targets.take(listing):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -336,7 +336,7 @@
     it.end("m", hb.Status.OK)
     it.arrive("n")
     it.end("n", hb.Status.OK)
-    assert it.sender.tight
+    assert it.sender.tight["shop"] > 0
 
 
 def test_scarce_slots_go_where_they_earn_most_for_their_time() -> None:
@@ -680,7 +680,7 @@
         it.sender.rng.seed(number)
         rows = tuple(hb.Endpoint(t, 1, hb.EndpointState.READY, "shop", weight=10.0) for t in ("a:1", "a:2"))
         it.feed(hb.MembershipNews(hb.ListKind.FULL, 1, rows))
-        it.sender.tight["shop"] = True
+        it.sender.tight["shop"] = decide.TIGHT
         it.arrive("m")
         for _ in range(2):
             it.wait(SECOND)  # silent: each connect takes its second
@@ -853,3 +853,28 @@
     assert it.now < decide.SHORT_US
     it.end("m0", hb.Status.OK)
     assert endpoint.health is health
+
+
+def test_a_connect_that_fails_by_chance_among_many_answers_is_no_sign_of_a_full_table() -> None:
+    it = caller(senders=2, slots=20)
+    for n in range(200):
+        it.arrive(f"m{n}")
+        if n % 50 == 49:
+            it.end(f"m{n}", hb.Status.CONNECT_FAILED)
+            assert it.until_sent(f"m{n}", 3 * SECOND)
+        it.end(f"m{n}", hb.Status.OK)
+        it.wait(50_000)
+    assert not any(isinstance(action, hb.CloseIdle) for action in it.other)
+
+
+def test_connects_that_fail_often_show_a_full_table_for_long() -> None:
+    it = caller(senders=2, slots=20)
+    for n in range(60):
+        it.arrive(f"m{n}")
+        if n % 4 == 3 and n < 40:
+            it.end(f"m{n}", hb.Status.CONNECT_FAILED)
+            assert it.until_sent(f"m{n}", 3 * SECOND)
+        it.end(f"m{n}", hb.Status.OK)
+        it.wait(50_000)
+    closes = sum(isinstance(action, hb.CloseIdle) for action in it.other)
+    assert closes > 50 and it.sender.tight["shop"] > 0
