Kept connections are used up to an idle age learnt from losses; stale signs weigh against answers

Ruled out: the pool's bound and its idle time closed none. Line at fault: decide.py, `_succeeded` closed idle connections everywhere for 15 s on one loss; and nothing in the pool learnt from losses.

Change: `node/keeping.py` measures losses by idle age against new connections and says how old a connection may be for a call, less for what may not be repeated. In the module, signs of stale connections and of full tables are weighed against answers, the more so the more senders share a table.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -197,8 +197,8 @@
 REST_TIMES = 2.0  # a rest after a failure: the budget's part that it leaves to others
 # Danger: as a silent destination returns, most of hundreds have seen just one connect fail, slowly at that.
 REST_SILENT = 8.0  # a full table refuses at once, so its rest stays short
-# Danger: connects also fail by chance; taken each for a full table, no connection at its kind is kept again.
-TIGHT = 30  # answers at its kind that outweigh one sign of a full table
+# Danger: connects and calls also fail by chance; taken each for a sign, no connection is ever kept again.
+SURE = 15  # answers, times the senders that share a table, that outweigh one sign of its being full
 STALE_IDLE_US = 400_000  # a connection left idle for this long may have been dropped unseen
 STALE_SPAN_US = 15_000_000  # idle connections are closed for so long after one was lost
 
@@ -320,7 +320,7 @@
         self.destinations: dict[int, Destination] = {}
         self.messages: dict[str, Message] = {}
         self.slots_used = 0
-        self.tight: dict[str, int] = {}  # by kind: signs of full tables of connections less answers
+        self.signs: defaultdict[str | None, float] = defaultdict(float)  # of full tables by kind, of stale ones
         self.stale_us = 0  # till when idle connections may be dropped unseen
         self.keys: dict[int | None, deque[Message]] = {}
         self.key_rest: dict[int, int] = {}
@@ -506,7 +506,7 @@
         # a connection is kept where, by this sender's own demand, its next call comes before it idles out.
         home = endpoint.home
         rare = home.ask(self.now, 0.0) * self.settings.idle_us < SECOND * len(home.endpoints)
-        crowded = rare or self.tight.get(home.kind.name, 0) > 0
+        crowded = rare or self.signs.get(home.kind.name, 0) > 0
         endpoint.kept = not (crowded or endpoint.stale or self.now < self.stale_us)
         if not endpoint.calls and not endpoint.kept:
             self.actions.append(hb.CloseIdle(endpoint.target))
@@ -566,7 +566,7 @@
             # Danger: a full table of connections looks like an outage. Calls that run, or small tables at
             # its kind, tell them apart; else a failed connect, seldom chance, needs but one more loss. An
             # answer to that try shows the small table, which a sender of few calls would never learn.
-            full = endpoint.calls or self.tight.get(endpoint.home.kind.name, 0) > 0
+            full = endpoint.calls or self.signs.get(endpoint.home.kind.name, 0) > 0
             alone = status is hb.Status.CONNECT_FAILED and not full
             endpoint.streak += fresh * (STREAK_OUT - 1 if alone else 1)
         if endpoint.health is Health.OUT:
@@ -592,11 +592,11 @@
         lost = sum(e.lost + sum(c.sent_us < call.sent_us for c in e.calls) for e in lane.endpoints)
         lost += SHORT_LOST * any(e.health is Health.RAMP for e in lane.endpoints)  # no chance for a sibling
         chance, endpoint.lost = young and lost < SHORT_LOST, 0
-        kind, sign = endpoint.home.kind.name, young and endpoint.barred_us >= endpoint.lost_us
-        self.tight[kind] = min(10 * TIGHT, max(-2 * TIGHT, self.tight.get(kind, 0) - 1 + TIGHT * sign))
-        endpoint.barred_us = 0  # it has told what it can
-        self.stale_us = self.now + STALE_SPAN_US if young and endpoint.stale else self.stale_us
-        endpoint.stale = False
+        full, stale = young and endpoint.barred_us >= endpoint.lost_us, young and endpoint.stale
+        for key, sign in ((endpoint.home.kind.name, full), (None, stale)):
+            self.signs[key] = min(10, max(-2, self.signs[key] + sign - 1 / SURE / self.settings.senders))
+        endpoint.barred_us, endpoint.stale = 0, False  # they have told what they can
+        self.stale_us = self.now + STALE_SPAN_US if stale and self.signs[None] > 0 else self.stale_us
         endpoint.lost_us = NEVER if endpoint.health is Health.WELL else endpoint.lost_us
         lane.failing_us, lane.refusing_us, lane.refusals = NEVER, NEVER, 0
         lane.pace.succeeded(self._bounds(endpoint))
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -19,7 +19,8 @@
 from honeybarrow import http
 from honeybarrow.forward.outcome import Outcome
 from honeybarrow.http.grammar import BODY_MOST
-from honeybarrow.interface import Status
+from honeybarrow.interface import Effect, Status
+from honeybarrow.node.keeping import Keeping
 from honeybarrow.node.wire import still_quiet, unwritten, write_now
 from honeybarrow.seams import Clock, Delayed, Network
 
@@ -39,6 +40,7 @@
     idempotency_key: str
     body: bytes
     end_us: int = 0
+    effect: Effect = Effect.SAFE
 
 
 def read_load(value: bytes, fields: Sequence[str]) -> tuple[float, ...]:
@@ -131,6 +133,7 @@
     def _end(self, outcome: Outcome) -> None:
         call, self.call = self.call, None
         if call is not None:
+            call.note(False)
             call.end(outcome)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -179,6 +182,7 @@
         self.connector: Any = None
         self.written = False
         self.begun = False
+        self.idle_us: int | None = None  # how long its connection had been kept, if it was
         self.timer: Delayed | None = None
 
     def start(self, kept: Connection | None, place: Place) -> None:
@@ -186,6 +190,7 @@
         left = max(0.0, self.until - clock.seconds())
         if kept is not None:
             self.connection, kept.call = kept, self
+            self.idle_us = int((clock.seconds() - kept.since) * 1e6)
             self.timer = clock.callLater(left, self._late)
             self.ready(kept)
             return
@@ -228,8 +233,13 @@
         if not self.begun or cut:
             self.end(Outcome(Status.CONNECT_FAILED, True, why=why))
         else:
+            self.note(connection.reader is None or not connection.reader.started)
             self.end(Outcome(Status.RESET, why=why))
 
+    def note(self, lost: bool) -> None:
+        """Tell what kept connections are worth."""
+        self.pool.keeping.ended(int(self.pool.clock.seconds() * 1e6), self.idle_us, lost)
+
     def _late(self) -> None:
         self.timer = None
         connection = self.connection
@@ -241,6 +251,7 @@
                 self.connector.stopConnecting()
             self.end(Outcome(Status.CONNECT_FAILED, True, why="not connected in time"))
         else:
+            self.note(connection is None or connection.reader is None or not connection.reader.started)
             self.end(Outcome(Status.TIMEOUT, why="no answer in time"))
 
     def end(self, outcome: Outcome) -> None:
@@ -275,6 +286,7 @@
         self.idle_most, self.load_fields, self.wanted = idle_most, load_fields, wanted
         self.calls = 0
         self.connects = 0  # begun since the start
+        self.keeping = Keeping()
         self._idle: dict[str, list[Connection]] = {}
         self._ending: dict[Connection, None] = {}  # delivered, and the rest of the answer has not come
         self.idle = 0
@@ -287,14 +299,19 @@
         call = _Call(self, target, parcel, timeout_us)
         self.calls += 1
         place = places[0]
-        call.start(self._take(target, place), place)
+        call.start(self._take(target, place, parcel.effect), place)
         return call.done
 
-    def _take(self, target: str, place: Place) -> Connection | None:
+    def _take(self, target: str, place: Place, effect: Effect) -> Connection | None:
+        """The connection used last, unless one so old has proven to be worth less than a new one."""
+        now = self.clock.seconds()
         while kept := self._idle.get(target):
             connection = kept[-1]
+            age_us = int((now - connection.since) * 1e6)
+            if age_us > self.keeping.longest_us(int(now * 1e6), effect):
+                return None  # it stays: for a call that can be repeated, or until it has idled out
             self.forget(connection)
-            fresh = self.clock.seconds() - connection.since < self.idle_s
+            fresh = age_us < self.idle_s * 1e6
             if fresh and connection.place == place and still_quiet(connection.transport):
                 return connection
             connection.close()
--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -10,6 +10,7 @@
 
 from honeybarrow import http, intake
 from honeybarrow.forward import Answer, Delivered, Failed, Forwarder, Refused, Submission, ignore_cancelled
+from honeybarrow.interface import Effect
 from honeybarrow.node.calls import Parcel
 from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
 from honeybarrow.node.reports import Reports
@@ -97,7 +98,7 @@
                 reply(http.encode_response(500), False)
 
         end_us = self.wall_us() + handed.left_us
-        parcel = Parcel(message, handed.idempotency_key, handed.body, end_us)
+        parcel = Parcel(message, handed.idempotency_key, handed.body, end_us, self._effect(handed.class_name))
         done = self.core.submit(
             Submission(
                 message,
@@ -115,6 +116,9 @@
         # A client that leaves before its 202 comes again under another id; after it, leaving means nothing.
         return lambda: None if accepted else _cancel(done)
 
+    def _effect(self, class_name: str) -> Effect:
+        return self.core.sender.classes[class_name].effect
+
     def _see(self, message: str) -> None:
         self._seen[message] = None
         if len(self._seen) > SEEN_MOST:
@@ -123,8 +127,9 @@
     def resume(self, step: Resume) -> None:
         """A message of an earlier life goes on."""
         taken = step.taken
+        effect = self._effect(taken.class_name)
         self._see(taken.message)
-        parcel = Parcel(taken.message, taken.idempotency_key, taken.body, taken.end_us)
+        parcel = Parcel(taken.message, taken.idempotency_key, taken.body, taken.end_us, effect)
         done = self.core.submit(
             Submission(
                 taken.message,
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -336,7 +336,7 @@
     it.end("m", hb.Status.OK)
     it.arrive("n")
     it.end("n", hb.Status.OK)
-    assert it.sender.tight["shop"] > 0
+    assert it.sender.signs["shop"] > 0
 
 
 def test_scarce_slots_go_where_they_earn_most_for_their_time() -> None:
@@ -680,7 +680,7 @@
         it.sender.rng.seed(number)
         rows = tuple(hb.Endpoint(t, 1, hb.EndpointState.READY, "shop", weight=10.0) for t in ("a:1", "a:2"))
         it.feed(hb.MembershipNews(hb.ListKind.FULL, 1, rows))
-        it.sender.tight["shop"] = decide.TIGHT
+        it.sender.signs["shop"] = 1.0
         it.arrive("m")
         for _ in range(2):
             it.wait(SECOND)  # silent: each connect takes its second
@@ -877,4 +877,16 @@
         it.end(f"m{n}", hb.Status.OK)
         it.wait(50_000)
     closes = sum(isinstance(action, hb.CloseIdle) for action in it.other)
-    assert closes > 50 and it.sender.tight["shop"] > 0
+    assert closes > 50 and it.sender.signs["shop"] > 0
+
+
+def test_one_loss_on_an_idle_connection_after_many_answers_closes_no_others() -> None:
+    it = caller(senders=2, slots=20)
+    for n in range(100):
+        it.arrive(f"m{n}")
+        if n % 40 == 39:
+            it.end(f"m{n}", hb.Status.RESET)
+            assert it.until_sent(f"m{n}", 3 * SECOND)
+        it.end(f"m{n}", hb.Status.OK)
+        it.wait(decide.STALE_IDLE_US + 1)
+    assert sum(isinstance(action, hb.CloseIdle) for action in it.other) <= 4  # after the losses themselves
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -625,3 +625,33 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_a_call_that_may_not_be_repeated_goes_on_a_new_connection_where_kept_ones_are_lost() -> None:
+    calls = Calls()
+    for _ in range(12):
+        calls.pool.keeping.ended(0, 10_000, True)
+    calls.call()
+    connection, _ = calls.up()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    parcel = Parcel("m2", "", b"", 0, hb.Effect.UNSAFE)
+    calls.clock.advance(0.01)
+    calls.pool.call("a", [("127.0.0.1", 9)], parcel, SECOND)
+    assert len(calls.clock.tcpClients) == 2 and calls.pool.idle == 1
+
+
+def test_the_pool_tells_losses_before_an_answer_from_spoilt_answers() -> None:
+    calls = Calls()
+    told: list[tuple[int | None, bool]] = []
+    keeping: Any = calls.pool.keeping
+    keeping.ended = lambda now, idle, lost: told.append((idle, lost))
+    calls.call()
+    connection, _ = calls.up()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    calls.clock.advance(0.25)
+    calls.call()
+    connection.connectionLost()
+    calls.call()
+    connection, _ = calls.up()
+    connection.dataReceived(b"noise\r\n\r\n")
+    assert told == [(None, False), (250_000, True), (None, False)]
