--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -320,7 +320,7 @@
         self.destinations: dict[int, Destination] = {}
         self.messages: dict[str, Message] = {}
         self.slots_used = 0
-        self.signs: defaultdict[str | None, float] = defaultdict(float)  # of full tables by kind, of stale ones
+        self.signs: defaultdict[object, float] = defaultdict(float)  # of full tables by kind, of stale ones
         self.stale_us = 0  # till when idle connections may be dropped unseen
         self.keys: dict[int | None, deque[Message]] = {}
         self.key_rest: dict[int, int] = {}
