Front: a crowd that asks once and stays no longer keeps clients out

The desk refused nothing, and no connection closed here had anything unread. 1,105 and 1,484 new connections were closed at once, since 929 that had asked GET /up and 291 that said nothing in ten seconds held the 265 places; a place was freed only 2 s after an answer. Lines at fault: front.py, `_victim` and its age. Line at fault: main.py, the bound of 265 of 384.

Change: clients' connections take at most half of the descriptors, and room is made by those between requests, whose clients send again without loss, before those that have said nothing yet.

--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -42,6 +42,7 @@
         self.tenants = {tenant.name: None for tenant in core.settings.tenants}
         self.ready = False
         self.stopping = False
+        self.refused: dict[str, int] = {}  # requests not taken, by status and reason
         self._seen: OrderedDict[str, None] = OrderedDict()
 
     def request(self, request: http.Request, reply: Reply) -> Callable[[], None] | None:
@@ -58,17 +59,20 @@
             return None
         handed = read_request(request, self.core.sender.classes, self.tenants)
         if isinstance(handed, NotTaken):
+            self._count(f"{handed.status} {handed.reason}")
             reply(http.encode_response(handed.status, body=handed.reason.encode(), close=True), True)
             return None
         return self._hand_in(handed, reply)
 
     def _turn_away(self, reply: Reply, why: str) -> None:
+        self._count(f"503 {why}")
         wait_us = intake.turn_away_us(0, self.core.settings.max_retry_after_us, self.rng)
         reply(http.encode_response(503, _retry_after(wait_us), why.encode()), False)
 
     def _hand_in(self, handed: HandedIn, reply: Reply) -> Callable[[], None] | None:
         message = handed.message
         if message in self._seen or self.core.holds(message):
+            self._count("409 known")
             reply(http.encode_response(409, body=b"this id is known"), False)
             return None
         if not self.ready:
@@ -119,6 +123,9 @@
     def _effect(self, class_name: str) -> Effect:
         return self.core.sender.classes[class_name].effect
 
+    def _count(self, what: str) -> None:
+        self.refused[what] = self.refused.get(what, 0) + 1
+
     def _see(self, message: str) -> None:
         self._seen[message] = None
         if len(self._seen) > SEEN_MOST:
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -16,6 +16,7 @@
 
 SILENT_S = 2.0  # from connecting to the first whole request: an answer or a close is owed within 3 s
 REQUEST_S = 2.0  # from the first byte of a later request to its last
+MUTE_S = 0.5  # without a word, after which a connection is not expected to bring a request soon
 QUIET_S = 2.0  # after which a connection without an open request may be closed when room runs out
 LINGER_S = 0.3  # to read on after an error, so that a reset does not eat the answer
 LINGER_MOST = 1 << 18  # bytes of that
@@ -151,7 +152,7 @@
         self.connections: OrderedDict[int, ClientConnection] = OrderedDict()  # least recently answered first
         self.numbers = 0
         self.bad = 0
-        self.turned_off = 0
+        self.made_room: dict[str, int] = {}  # connections closed for want of room, by what they were
         clock.callLater(SWEEP_S, self._sweep)
 
     def buildProtocol(self, addr: Any) -> ClientConnection:
@@ -161,8 +162,9 @@
     def opened(self, connection: ClientConnection) -> None:
         """A client has connected; the one that needs its place least makes room."""
         if len(self.connections) >= self.most:
-            self.turned_off += 1
             victim = self._victim()
+            what = "new" if victim is None else "served" if victim.served else "silent"
+            self.made_room[what] = self.made_room.get(what, 0) + 1
             if victim is None:
                 connection.ending = True
                 connection.transport.abortConnection()
@@ -173,18 +175,22 @@
         self.connections[connection.number] = connection
 
     def _victim(self) -> ClientConnection | None:
-        quiet = self.clock.seconds() - QUIET_S
-        served = None
+        """Whose place is needed least; none if each has a request open or on its way."""
+        # Danger: a request may be on its way on a connection that has said nothing yet, and fails with it.
+        # One between requests loses nothing: its client sends again on a new one. So those go first.
+        now = self.clock.seconds()
+        ranked: dict[int, ClientConnection] = {}
         for each in self.connections.values():
             if each.ending:
                 return each
-            if each.open:
+            if each.open or (each.served and each.reader.state is http.Waiting.REST):
                 continue
-            if not each.served:
-                return each
-            if served is None and each.since < quiet:
-                served = each
-        return served
+            if each.served:
+                rank = 0 if each.since < now - QUIET_S else 1
+            else:
+                rank = 2 if each.since < now - MUTE_S else 3
+            ranked.setdefault(rank, each)
+        return ranked[min(ranked)] if ranked else None
 
     def answered(self, connection: ClientConnection) -> None:
         """An answer went out."""
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -27,6 +27,9 @@
 DISK_SHARE = 0.8  # of the folder's bound that the journal may take
 DESCRIPTORS_OWN = 24  # the journal, the reactor, the log, the listener, discovery and notices
 IDLE_TARGETS_SHARE = 0.2  # of the descriptors that may be idle connections to targets
+# Danger: a crowd that asks once and stays counts where clients' connections are dealt out, and those with
+# requests are then kept out, though there is room here. Their requests need a third at most.
+CLIENTS_SHARE = 0.5  # of the descriptors that may be clients' connections
 PULSE_S = 10.0
 LAG_S = 0.1  # between looks at how late the loop is
 STOP_LEAST_S = 0.6  # new connections come for so long after SIGTERM
@@ -147,7 +150,8 @@
         )
         rng = random.Random(config.seed)
         self.desk = Desk(self.core, self.journal, self.reports, wall_us, self.targets.listed, rng)
-        clients = max(16, sockets - DESCRIPTORS_OWN - idle_most - min(settings.slots, sockets // 4))
+        room = sockets - DESCRIPTORS_OWN - idle_most - min(settings.slots, sockets // 4)
+        clients = max(16, min(room, int(sockets * CLIENTS_SHARE)))
         self.front = Front(reactor, self.desk, clients)
         self.port: Any = None
         self._lag = 0.0
@@ -246,11 +250,12 @@
         counts = self.core.counts
         log.info(
             "pulse lag_ms=%d held=%d calls=%d clients=%d idle=%d connects=%d notices=%d journal=%d rss_kb=%d "
-            "taken=%d turned_away=%d delivered=%d refused=%d failed=%d bad=%d outcomes=%s",
+            "taken=%d turned_away=%d delivered=%d refused=%d failed=%d bad=%d made_room=%s not_taken=%s "
+            "outcomes=%s",
             self._lag * 1000, self.core.open, self.core.calls, len(self.front.connections), self.pool.idle,
             self.pool.connects, len(self.reports.waiting), self.journal.bytes, _rss_kb(),
             counts.taken, counts.turned_away, counts.delivered, counts.refused, counts.failed,
-            self.front.bad, counts.outcomes,
+            self.front.bad, self.front.made_room, self.desk.refused, counts.outcomes,
         )  # fmt: skip
         self._lag = 0.0
         self.reactor.callLater(PULSE_S, self._pulse)
