What can't be kept is neither promised nor sent; places decided apart; one factory for dials

After a torn write, later records lay behind what no reader passes. - core.py, `submit` took a resumed message for a new one if it had had no attempt, and could turn it away. - front.py and main.py decided who makes room and how descriptors are shared out, beside their I/O; main.py held the list of targets.

Change: `commit` says whether it is on disk; if not, arrivals hear 429, nothing begins, and ends wait for the next write. `node/places.py` decides places, `Targets` stands with the list, `forward/dial.py` is the one factory, and `parse_place` the one reader of addresses.

--- a/honeybarrow/drill.py
+++ b/honeybarrow/drill.py
@@ -12,7 +12,7 @@
 
 from honeybarrow import interface as hb
 from honeybarrow.decide import Sender
-from honeybarrow.settings import WireError, read_settings
+from honeybarrow.settings import read_settings
 
 STATES = {
     "Running": hb.EndpointState.READY,
@@ -40,6 +40,10 @@
 Value = TypeVar("Value")
 
 
+class WireError(Exception):
+    """The input is not what the wire allows."""
+
+
 class Fields:
     """The parts of one line, read by name and type."""
 
@@ -137,8 +141,8 @@
             if line.name == "attach":
                 if number in self.senders:
                     raise WireError(f"'attach': forwarder {number} is there already")
-                settings = read_settings(line.text("options"))
                 try:
+                    settings = read_settings(line.text("options"))
                     self.senders[number] = Sender(settings, line.whole("prng"))
                 except ValueError as error:
                     raise WireError(f"'attach': {error}") from None
--- a/honeybarrow/forward/__init__.py
+++ b/honeybarrow/forward/__init__.py
@@ -10,6 +10,7 @@
     Submission,
     ignore_cancelled,
 )
+from honeybarrow.forward.dial import Dial
 from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
 from honeybarrow.forward.pool import Parcel, Place, Pool, PoolLimits
 
@@ -17,6 +18,7 @@
     "Answer",
     "Counts",
     "Delivered",
+    "Dial",
     "Failed",
     "Forwarder",
     "Outcome",
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -72,8 +72,8 @@
     """A message as a front hands it in; ``left_us`` is the time until its answer is due.
 
     ``accepted`` is called once it is kept beyond the process, before anything of it is sent; not at all if
-    the module answers it in the turn of its coming. ``attempts`` and ``doubt_us``: its past in an earlier
-    life, see :class:`honeybarrow.interface.MessageArrived`.
+    the module answers it in the turn of its coming. ``resumed``: an earlier life took it on, so it has its
+    place; ``attempts`` and ``doubt_us`` are its past, see :class:`honeybarrow.interface.MessageArrived`.
     """
 
     message: str
@@ -85,6 +85,7 @@
     key: int | None = None
     repeat: bool = False
     accepted: Callable[[], None] = _nothing
+    resumed: bool = False
     attempts: int = 0
     doubt_us: int | None = None
 
@@ -150,6 +151,7 @@
         self._last_us = 0
         self._events: list[hb.Event] = []
         self._arrived: list[_Held] = []  # in this turn
+        self._kept = True  # what was to be kept in this turn is
         self._turning = False
         self._held: dict[str, _Held] = {}
         self._open = 0
@@ -174,8 +176,7 @@
         if submission.class_name not in self.sender.classes:
             raise ValueError(f"unknown class {submission.class_name!r}")
         done: Deferred[Answer] = Deferred(lambda _: self._withdraw(submission.message))
-        resumed = submission.attempts > 0 or submission.doubt_us is not None
-        if self._open >= self.settings.max_open and not resumed:  # what was taken on once keeps its place
+        if self._open >= self.settings.max_open and not submission.resumed:
             self.counts.turned_away += 1
             wait = intake.turn_away_us(0, self.settings.max_retry_after_us, self.rng)
             self.log.info("turned away", message=submission.message, held=self._open, wait_us=wait)
@@ -283,9 +284,15 @@
                 number = numbers.get(action.message, held_one.attempts)
                 numbers[action.message] = number + 1
                 self.keeper.began(action.message, number)
-        self.keeper.commit()
+        self._kept = self.keeper.commit()
         for held in kept:
-            held.submission.accepted()
+            if self._kept:
+                held.submission.accepted()
+            elif not held.submission.resumed:
+                # Danger: promised all the same, it would be lost with the process. Nothing of it is out yet.
+                wait = intake.turn_away_us(0, self.settings.max_retry_after_us, self.rng)
+                self._answer(held, Refused(wait, "it can't be kept"))
+                self._happened(hb.MessageExpired(held.submission.message))
 
     def _since_taken(self, event: hb.MessageArrived, now: int) -> hb.MessageArrived:
         held = self._held.get(event.message)
@@ -328,9 +335,11 @@
         places = self.places(action.target)
         slots_full = self._calls >= self.settings.slots
         barred = not self.may_begin(held.submission)
-        if not places or held.over or slots_full or barred:
+        # Danger: an attempt whose begin is not on disk is taken for one that never was, and repeated.
+        if not places or held.over or slots_full or barred or not self._kept:
             self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
             why = "no slot" if slots_full else "stopping" if barred else "no address"
+            why = why if self._kept else "its begin can't be kept"
             outcome = Outcome(hb.Status.NOT_SENT, True, why=why, slots_full=slots_full)
             self._ended(held, number, action.target, self._now_us(), outcome)
             return
--- /dev/null
+++ b/honeybarrow/forward/dial.py
@@ -0,0 +1,23 @@
+"""A factory for one connection that was made beforehand."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+
+class Dial(ClientFactory):
+    """Connects one protocol; one that never comes up hears so by its ``connectionLost``."""
+
+    noisy = False
+
+    def __init__(self, connection: Protocol) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> Protocol:
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self.connection.connectionLost(reason)
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -15,11 +15,12 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import mail
 from honeybarrow.addresses import Address, Addresses, Failing
+from honeybarrow.forward.dial import Dial
 from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
 from honeybarrow.interface import Status
 from honeybarrow.reaching import NEVER, Close, Connect, Over, Reaching, Step, Why
@@ -140,19 +141,6 @@
         self.pool.clock.callLater(self.pool.limits.connect_timeout_s, self.transport.abortConnection)
 
 
-class _Factory(ClientFactory):
-    noisy = False
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, addr: Any) -> Connection:
-        return self.connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.connection.connectionLost(reason)
-
-
 class _Call:
     """One call: from the pool's promise to its one outcome. What to connect and close, its way says."""
 
@@ -374,9 +362,9 @@
         self.opened(connection.target)
         timeout = self.limits.connect_timeout_s + 1  # the call gives it up before
         if place.path:
-            self.reactor.connectUNIX(place.path, _Factory(connection), timeout=timeout)
+            self.reactor.connectUNIX(place.path, Dial(connection), timeout=timeout)
         else:
-            self.reactor.connectTCP(place.host, place.port, _Factory(connection), timeout=timeout)
+            self.reactor.connectTCP(place.host, place.port, Dial(connection), timeout=timeout)
 
     def keep(self, connection: Connection) -> None:
         """A connection is idle: keep it for the next call, within the bounds, as long as its partner does."""
--- a/honeybarrow/http/__init__.py
+++ b/honeybarrow/http/__init__.py
@@ -5,10 +5,11 @@
 """
 
 from honeybarrow.http.client import Broken, Complete, Data, Head, ResponseReader, encode_request
-from honeybarrow.http.grammar import GrammarError, parse_fields
+from honeybarrow.http.grammar import BODY_MOST, GrammarError, parse_fields
 from honeybarrow.http.server import Bad, Request, RequestReader, Waiting, encode_response
 
 __all__ = [
+    "BODY_MOST",
     "Bad",
     "Broken",
     "Complete",
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -13,14 +13,14 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import http
-from honeybarrow.forward.outcome import Outcome
-from honeybarrow.http.grammar import BODY_MOST
+from honeybarrow.forward import Dial, Outcome
 from honeybarrow.interface import Effect, Status
 from honeybarrow.node.keeping import Keeping
+from honeybarrow.node.listing import Place
 from honeybarrow.node.wire import still_quiet, unwritten, write_now
 from honeybarrow.seams import Clock, Delayed, Network
 
@@ -29,8 +29,6 @@
 REST_S = 1.0  # for the rest of an answer whose head has said all; then its connection goes
 REPORT_MOST = 1024  # bytes of a load report
 
-Place = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class Parcel:
@@ -98,7 +96,7 @@
 
     def send(self, data: bytes) -> bool:
         """Write a request; whether all of it has reached the system."""
-        self.reader, self.head = http.ResponseReader(BODY_MOST), None
+        self.reader, self.head = http.ResponseReader(http.BODY_MOST), None
         return write_now(self.transport, data)
 
     def dataReceived(self, data: bytes) -> None:
@@ -158,19 +156,6 @@
             self.transport.abortConnection()
 
 
-class _Factory(ClientFactory):
-    noisy = False
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, addr: Any) -> Connection:
-        return self.connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.connection.connectionLost(reason)
-
-
 class _Call:
     """One call: from the pool's promise to its one outcome."""
 
@@ -199,7 +184,7 @@
         wait = min(left, self.pool.connect_timeout_s)
         self.timer = clock.callLater(wait, self._late)
         self.pool.connects += 1
-        self.connector = self.pool.network.connectTCP(*place, _Factory(connection), timeout=wait + 1)
+        self.connector = self.pool.network.connectTCP(*place, Dial(connection), timeout=wait + 1)
 
     def ready(self, connection: Connection) -> None:
         """The connection is up: write the call."""
--- a/honeybarrow/node/config.py
+++ b/honeybarrow/node/config.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from honeybarrow import interface as hb
-from honeybarrow.node.listing import ListError, Listing, parse_listing
-from honeybarrow.settings import WireError, settings_of
+from honeybarrow.node.listing import Listing, Place, parse_listing, parse_place
+from honeybarrow.settings import settings_of
 
 CONFIG_MOST = 8 << 20  # bytes of a file that is read at all
 
@@ -31,8 +31,8 @@
     """One reading of the configuration."""
 
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Place
+    discovery: Place
     state: str
     seed: int
     limits: Limits
@@ -40,22 +40,19 @@
     settings: hb.Settings
 
 
-def parse_place(text: str, what: str = "address") -> tuple[str, int]:
-    """``host:port`` with a numeric IPv4 host; the network has no names."""
-    host, colon, port = text.rpartition(":")
-    parts = host.split(".")
-    digits = len(parts) == 4 and all(p.isdigit() and len(p) <= 3 and int(p) < 256 for p in parts)
-    if not colon or not digits or not port.isdigit() or len(port) > 5 or not 0 < int(port) < 65536:
-        raise ConfigError(f"{what} {text[:60]!r} is not address:port")
-    return host, int(port)
-
-
 def _text(value: Any, what: str) -> str:
     if not isinstance(value, str) or not value:
         raise ConfigError(f"{what} is missing or no text")
     return value
 
 
+def _place(value: Any, what: str) -> Place:
+    try:
+        return parse_place(_text(value, what), what)
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
+
+
 def _number(values: Mapping[str, Any], key: str, default: float) -> float:
     value = values.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
@@ -84,18 +81,16 @@
     try:
         settings = settings_of(top.get("settings"))
         hb.check(settings)
-    except (WireError, ValueError) as error:
+    except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
     try:
         known = parse_listing(top.get("known") or {"index": 0, "snapshot": True, "endpoints": []})
-    except ListError as error:
+    except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     return Config(
         name=_text(top.get("name") or environ.get("ROUTER_NAME"), "name"),
-        listen=parse_place(_text(top.get("listen") or environ.get("ROUTER_LISTEN"), "listen"), "listen"),
-        discovery=parse_place(
-            _text(top.get("discovery") or environ.get("ROUTER_DISCOVERY"), "discovery"), "discovery"
-        ),
+        listen=_place(top.get("listen") or environ.get("ROUTER_LISTEN"), "listen"),
+        discovery=_place(top.get("discovery") or environ.get("ROUTER_DISCOVERY"), "discovery"),
         state=_text(environ.get("ROUTER_STATE"), "ROUTER_STATE"),
         seed=number,
         limits=Limits(
--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -145,6 +145,7 @@
                 step.left_us,
                 parcel,
                 taken.tenant,
+                resumed=True,
                 attempts=step.attempts,
                 doubt_us=step.doubt_us,
             )
--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import http
 from honeybarrow import interface as hb
+from honeybarrow.forward import Dial
 from honeybarrow.node.listing import ListError, Listing, parse_line
 from honeybarrow.seams import Clock, Delayed, Network
 
@@ -77,19 +78,6 @@
         self.discovery.failed(self, reason.getErrorMessage())
 
 
-class _Factory(ClientFactory):
-    noisy = False
-
-    def __init__(self, watch: _Watch) -> None:
-        self.watch = watch
-
-    def buildProtocol(self, addr: Any) -> _Watch:
-        return self.watch
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.watch.connectionLost(reason)
-
-
 class Discovery:
     """The list of targets as discovery tells it. ``told`` gets each item, ``lost`` that the watch is gone."""
 
@@ -137,7 +125,7 @@
         host, port = self.place
         self._watch = watch = _Watch(self, host, self.version)
         self._set_timer(ANSWER_S)
-        self.network.connectTCP(host, port, _Factory(watch), timeout=ANSWER_S)
+        self.network.connectTCP(host, port, Dial(watch), timeout=ANSWER_S)
 
     def _set_timer(self, seconds: float | None) -> None:
         if self._timer is not None and self._timer.active():
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -11,14 +11,10 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import http
+from honeybarrow.node.places import Due, Stage, due, rank
 from honeybarrow.node.wire import write_now
 from honeybarrow.seams import Clock
 
-SILENT_S = 2.0  # from connecting to the first whole request: an answer or a close is owed within 3 s
-REQUEST_S = 2.0  # from the first byte of a later request to its last
-MUTE_S = 0.5  # without a word, after which a connection is not expected to bring a request soon
-QUIET_S = 2.0  # after which a connection without an open request may be closed when room runs out
-LINGER_S = 0.3  # to read on after an error, so that a reset does not eat the answer
 LINGER_MOST = 1 << 18  # bytes of that
 SWEEP_S = 0.2
 BATCH = 4  # requests of one connection that are gone through in one go
@@ -54,6 +50,17 @@
         self.again = False  # a look at what came is due
         self.last = False  # the client wants the connection closed after the answer
 
+    @property
+    def stage(self) -> Stage:
+        """What it is at."""
+        if self.ending:
+            return Stage.ENDING
+        if self.open:
+            return Stage.OPEN
+        if self.reader.state is http.Waiting.REST:
+            return Stage.COMING
+        return Stage.SERVED if self.served else Stage.SILENT
+
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.front.opened(self)
@@ -175,21 +182,12 @@
         self.connections[connection.number] = connection
 
     def _victim(self) -> ClientConnection | None:
-        """Whose place is needed least; none if each has a request open or on its way."""
-        # Danger: a request may be on its way on a connection that has said nothing yet, and fails with it.
-        # One between requests loses nothing: its client sends again on a new one. So those go first.
+        """Whose place is needed least, of equals the least recently answered; none if all are needed."""
         now = self.clock.seconds()
         ranked: dict[int, ClientConnection] = {}
         for each in self.connections.values():
-            if each.ending:
-                return each
-            if each.open or (each.served and each.reader.state is http.Waiting.REST):
-                continue
-            if each.served:
-                rank = 0 if each.since < now - QUIET_S else 1
-            else:
-                rank = 2 if each.since < now - MUTE_S else 3
-            ranked.setdefault(rank, each)
+            if (place := rank(each.stage, each.served, now - each.since)) is not None:
+                ranked.setdefault(place, each)
         return ranked[min(ranked)] if ranked else None
 
     def answered(self, connection: ClientConnection) -> None:
@@ -204,21 +202,17 @@
     def stop(self) -> None:
         """Close what is between requests; what is open is answered first."""
         for each in list(self.connections.values()):
-            if not each.open and not each.ending and each.reader.state is http.Waiting.START:
+            if each.stage in (Stage.SERVED, Stage.SILENT):
                 each.close()
 
     def _sweep(self) -> None:
         now = self.clock.seconds()
         for each in list(self.connections.values()):
-            age = now - each.since
-            if each.ending:
-                if age > LINGER_S:
+            match due(each.stage, each.served, now - each.since):
+                case Due.ABORT:
                     each.transport.abortConnection()
-            elif each.open:
-                continue
-            elif each.reader.state is http.Waiting.REST:
-                if age > REQUEST_S:
+                case Due.REFUSE:
                     each.refuse(408)
-            elif not each.served and age > SILENT_S:
-                each.close()
+                case Due.CLOSE:
+                    each.close()
         self.clock.callLater(SWEEP_S, self._sweep)
--- a/honeybarrow/node/keeping.py
+++ b/honeybarrow/node/keeping.py
@@ -1,8 +1,8 @@
 """How long a kept connection may have been idle to carry another call: learnt from how such calls ended.
 
 Servers close idle connections early, unseen, or all at once, and a call written to one is lost without a
-word. Here is only measurement: ends of calls by the idle age of their connection, against those on new
-connections. No I/O, no clock; times are microseconds and come as arguments.
+word. So ends of calls are measured by the idle age of their connection, against those on new
+connections, and say up to which age one is used. No I/O, no clock; times are microseconds, as arguments.
 """
 
 from __future__ import annotations
--- a/honeybarrow/node/listing.py
+++ b/honeybarrow/node/listing.py
@@ -15,9 +15,20 @@
     "leaving": hb.EndpointState.DRAINING,
     "left": hb.EndpointState.GONE,
 }
+Place = tuple[str, int]
 log = logging.getLogger("honeybarrow.node")
 
 
+def parse_place(text: str, what: str = "address") -> Place:
+    """``host:port`` with a numeric IPv4 host; the network has no names."""
+    host, colon, port = text.rpartition(":")
+    parts = host.split(".")
+    digits = len(parts) == 4 and all(p.isdigit() and len(p) <= 3 and int(p) < 256 for p in parts)
+    if not colon or not digits or not port.isdigit() or len(port) > 5 or not 0 < int(port) < 65536:
+        raise ValueError(f"{what} {text[:60]!r} is not address:port")
+    return host, int(port)
+
+
 class ListError(ValueError):
     """An item of the list can't be read at all."""
 
@@ -29,7 +40,7 @@
     version: int
     whole: bool
     endpoints: tuple[hb.Endpoint, ...]
-    addresses: dict[str, tuple[str, int]]
+    addresses: dict[str, Place]
 
     def news(self, kind: hb.ListKind | None = None) -> hb.MembershipNews:
         """As the module is told."""
@@ -59,7 +70,7 @@
     if len(rows) > ENTRIES_MOST:
         raise ListError(f"an item of the list has more than {ENTRIES_MOST} entries")
     endpoints: list[hb.Endpoint] = []
-    addresses: dict[str, tuple[str, int]] = {}
+    addresses: dict[str, Place] = {}
     for row in rows:
         try:
             endpoint, place = _entry(row)
@@ -72,7 +83,7 @@
     return Listing(version, value.get("snapshot") is True, tuple(endpoints), addresses)
 
 
-def _entry(row: Any) -> tuple[hb.Endpoint, tuple[str, int] | None]:
+def _entry(row: Any) -> tuple[hb.Endpoint, Place | None]:
     name, group, state = row["name"], row["group"], STATES[row["status"]]
     if not isinstance(name, str) or not name or isinstance(group, bool) or not isinstance(group, int):
         raise ValueError("name or group")
@@ -81,9 +92,54 @@
         raise ValueError("weight")
     place = None
     if state is not hb.EndpointState.GONE or "address" in row:
-        host, _, port = str(row.get("address", "")).rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
-            raise ValueError("address")
-        place = (host, int(port))
+        place = parse_place(str(row.get("address", "")))
     kind, zone = str(row.get("type", "")), str(row.get("zone", ""))
     return hb.Endpoint(name, group, state, kind, zone, float(weight)), place
+
+
+class Targets:
+    """Where the targets of the list listen, and which of them may be sent new work."""
+
+    def __init__(self) -> None:
+        self.places: dict[str, Place] = {}
+        self.ready: dict[str, None] = {}
+        self.destinations: dict[int, None] = {}  # ever listed in this life; bounded by what discovery lists
+
+    def take(self, listing: Listing) -> list[str]:
+        """Take an item of the list; the targets whose idle connections are of no further use."""
+        named = {endpoint.target: None for endpoint in listing.endpoints}
+        left = [target for target in self.places if listing.whole and target not in named]
+        for endpoint in listing.endpoints:
+            target, place = endpoint.target, listing.addresses.get(endpoint.target)
+            if endpoint.state is hb.EndpointState.GONE or place is None:
+                left.append(target)
+                self._drop(target)
+                continue
+            self.destinations[endpoint.destination] = None
+            if self.places.get(target, place) != place:
+                left.append(target)
+            self.places[target] = place
+            if endpoint.state is hb.EndpointState.READY:
+                self.ready[target] = None
+            else:
+                self.ready.pop(target, None)
+        for target in left:
+            if target not in named:
+                self._drop(target)
+        return left
+
+    def _drop(self, target: str) -> None:
+        self.places.pop(target, None)
+        self.ready.pop(target, None)
+
+    def where(self, target: str) -> list[Place]:
+        """The address of a target that may be sent new work, else nothing."""
+        return [self.places[target]] if target in self.ready else []
+
+    def wanted(self, target: str) -> bool:
+        """Whether it may be sent new work."""
+        return target in self.ready
+
+    def listed(self, destination: int) -> bool:
+        """Whether a destination has been in the list."""
+        return destination in self.destinations
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -14,22 +14,18 @@
 from honeybarrow import interface as hb
 from honeybarrow.forward import Forwarder, Submission
 from honeybarrow.node import signals
-from honeybarrow.node.calls import CallPool, Place
+from honeybarrow.node.calls import CallPool
 from honeybarrow.node.config import Config, ConfigError, read_config
 from honeybarrow.node.desk import Desk
 from honeybarrow.node.discovery import Discovery
 from honeybarrow.node.front import Front
-from honeybarrow.node.listing import Listing
+from honeybarrow.node.listing import Listing, Targets
+from honeybarrow.node.places import share_out
 from honeybarrow.node.reports import Reports
 from honeybarrow.node.store import Journal
 from honeybarrow.recovery import STOP_US, Resume, may_begin, plan
 
 DISK_SHARE = 0.8  # of the folder's bound that the journal may take
-DESCRIPTORS_OWN = 24  # the journal, the reactor, the log, the listener, discovery and notices
-IDLE_TARGETS_SHARE = 0.2  # of the descriptors that may be idle connections to targets
-# Danger: a crowd that asks once and stays counts where clients' connections are dealt out, and those with
-# requests are then kept out, though there is room here. Their requests need a third at most.
-CLIENTS_SHARE = 0.5  # of the descriptors that may be clients' connections
 PULSE_S = 10.0
 LAG_S = 0.1  # between looks at how late the loop is
 STOP_LEAST_S = 0.6  # new connections come for so long after SIGTERM
@@ -55,54 +51,6 @@
         log.error("%s %s", event, fields)
 
 
-class Targets:
-    """Where the targets of the list listen, and which of them may be sent new work."""
-
-    def __init__(self) -> None:
-        self.places: dict[str, Place] = {}
-        self.ready: dict[str, None] = {}
-        self.destinations: dict[int, None] = {}  # ever listed in this life; bounded by what discovery lists
-
-    def take(self, listing: Listing) -> list[str]:
-        """Take an item of the list; the targets whose idle connections are of no further use."""
-        named = {endpoint.target: None for endpoint in listing.endpoints}
-        left = [target for target in self.places if listing.whole and target not in named]
-        for endpoint in listing.endpoints:
-            target, place = endpoint.target, listing.addresses.get(endpoint.target)
-            if endpoint.state is hb.EndpointState.GONE or place is None:
-                left.append(target)
-                self._drop(target)
-                continue
-            self.destinations[endpoint.destination] = None
-            if self.places.get(target, place) != place:
-                left.append(target)
-            self.places[target] = place
-            if endpoint.state is hb.EndpointState.READY:
-                self.ready[target] = None
-            else:
-                self.ready.pop(target, None)
-        for target in left:
-            if target not in named:
-                self._drop(target)
-        return left
-
-    def _drop(self, target: str) -> None:
-        self.places.pop(target, None)
-        self.ready.pop(target, None)
-
-    def where(self, target: str) -> list[Place]:
-        """The address of a target that may be sent new work, else nothing."""
-        return [self.places[target]] if target in self.ready else []
-
-    def wanted(self, target: str) -> bool:
-        """Whether it may be sent new work."""
-        return target in self.ready
-
-    def listed(self, destination: int) -> bool:
-        """Whether a destination has been in the list."""
-        return destination in self.destinations
-
-
 class Node:
     """One forwarder process's parts."""
 
@@ -118,13 +66,13 @@
         settings, sockets = config.settings, config.limits.sockets
         self.journal = Journal(config.state, int(config.limits.disk_bytes * DISK_SHARE), wall_us)
         self.targets = Targets()
-        idle_most = max(4, int(sockets * IDLE_TARGETS_SHARE))
+        shares = share_out(sockets, settings.slots)
         self.pool = CallPool(
             reactor,
             reactor,
             settings.connect_timeout_us,
             settings.idle_us,
-            idle_most,
+            shares.idle_targets,
             settings.load_fields,
             self.targets.wanted,
         )
@@ -150,9 +98,7 @@
         )
         rng = random.Random(config.seed)
         self.desk = Desk(self.core, self.journal, self.reports, wall_us, self.targets.listed, rng)
-        room = sockets - DESCRIPTORS_OWN - idle_most - min(settings.slots, sockets // 4)
-        clients = max(16, min(room, int(sockets * CLIENTS_SHARE)))
-        self.front = Front(reactor, self.desk, clients)
+        self.front = Front(reactor, self.desk, shares.clients)
         self.port: Any = None
         self._lag = 0.0
         self._looked = 0.0
--- a/honeybarrow/node/reports.py
+++ b/honeybarrow/node/reports.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import http
+from honeybarrow.forward import Dial
 from honeybarrow.node.wire import still_quiet
 from honeybarrow.recovery import Ending
 from honeybarrow.seams import Clock, Delayed, Network
@@ -69,19 +70,6 @@
         self.reports.lost(self)
 
 
-class _Factory(ClientFactory):
-    noisy = False
-
-    def __init__(self, link: _Link) -> None:
-        self.link = link
-
-    def buildProtocol(self, addr: Any) -> _Link:
-        return self.link
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.link.connectionLost(reason)
-
-
 class Reports:
     """Notices that the platform has not taken yet, in order.
 
@@ -93,7 +81,7 @@
         network: Network,
         clock: Clock,
         place: tuple[str, int],
-        ready: Callable[[], None],
+        ready: Callable[[], object],
         taken: Callable[[list[str]], None],
     ) -> None:
         self.network, self.clock, self.place = network, clock, place
@@ -148,7 +136,7 @@
         self._link = link = _Link(self, self.place[0])
         link.batch = batch
         self._timer = self.clock.callLater(ANSWER_S, self._late, link)
-        self.network.connectTCP(*self.place, _Factory(link), timeout=ANSWER_S)
+        self.network.connectTCP(*self.place, Dial(link), timeout=ANSWER_S)
 
     def answered(self, link: _Link, status: int, reuse: bool) -> None:
         """The platform has answered a batch."""
--- a/honeybarrow/node/store.py
+++ b/honeybarrow/node/store.py
@@ -31,7 +31,8 @@
         self.folder, self.bound, self.wall_us = folder, bound, wall_us
         self.segment_most = max(4 * BLOCK, bound // SEGMENTS)
         self.ledger = Ledger()
-        self.failed = False  # a write has failed: nothing more is taken on
+        self.failed = False  # the last write has
+        self._torn = False  # the last segment ends in a part of a record
         self._pending: list[Record] = []
         self._sizes: OrderedDict[int, int] = OrderedDict()  # bytes of each segment, oldest first
         self._homes: dict[str, int] = {}  # the segment that holds a message's record of taking
@@ -93,7 +94,7 @@
     def has_room(self, message: str, body: int) -> bool:
         """Whether one more message can be kept to its end; it is counted at once if so."""
         size = size_of(message, body)
-        if self.failed or self._live + self._asked + size > LIVE_SHARE * self.bound:
+        if self._live + self._asked + size > LIVE_SHARE * self.bound:
             return False
         self._asked += size
         return True
@@ -138,38 +139,61 @@
     def over(self, message: str) -> None:
         self.record(Over(message))
 
-    def commit(self) -> None:
-        """Write what happened since the last commit, in one write."""
+    def commit(self) -> bool:
+        """Write what happened since the last commit, in one write; whether it is on disk.
+
+        If it is not, what was taken is forgotten, for nothing was promised, and the rest waits for the next.
+        """
         self._asked = 0
         if not self._pending:
-            return
+            return True
         records, self._pending = self._pending, []
-        self._write(records)
+        if not self._write(records):
+            for record in records:
+                if isinstance(record, Taken):
+                    self._release(record.message)
+            self._pending = [each for each in records if each.message in self._homes]
+            return False
         self._trim()
+        return True
 
-    def _write(self, records: list[Record]) -> None:
+    def _write(self, records: list[Record]) -> bool:
+        if self._torn:  # Danger: reading ends at a torn record, so nothing may be written behind one
+            self._roll()
+        if self._torn:
+            return False
         data = b"".join(map(encode, records))
         number = next(reversed(self._sizes))
         try:
             done = os.write(self._fd, data)
-            if done < len(data):
-                raise OSError("short write")
         except OSError as error:
+            done = 0
             if not self.failed:
-                log.error("journal: can't write, nothing more is taken on: %s", error)
-            self.failed = True
-        self._sizes[number] += len(data)
+                log.error("journal: can't write: %s", error)
+        self._sizes[number] += done
+        self.failed = done < len(data)
+        if self.failed:
+            self._torn = done > 0
+            return False
         for record in records:
             self._apply(record, number)
         if self._sizes[number] >= self.segment_most:
             self._roll()
+        return True
 
     def _roll(self) -> None:
+        """Go on in a new segment; if none can be made, the last one grows on."""
+        number = next(reversed(self._sizes), 0) + 1
+        try:
+            fd = os.open(self._path(number), os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            if self._fd < 0:
+                raise
+            log.error("journal: no new segment: %s", error)
+            return
         if self._fd >= 0:
             os.close(self._fd)
-        number = next(reversed(self._sizes), 0) + 1
-        self._fd = os.open(self._path(number), os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
-        self._sizes[number] = 0
+        self._fd, self._sizes[number], self._torn = fd, 0, False
 
     def _trim(self) -> None:
         while len(self._sizes) > 1:
@@ -179,7 +203,8 @@
                 return
             if held:
                 entries: list[Entry] = [self.ledger.entries[message] for message in held]
-                self._write([entry.forward() for entry in entries])
+                if not self._write([entry.forward() for entry in entries]):
+                    return  # Danger: the segment still holds what is owed
             self._in.pop(oldest, None)
             del self._sizes[oldest]
             try:
--- a/honeybarrow/seams.py
+++ b/honeybarrow/seams.py
@@ -84,7 +84,11 @@
 
 
 class Keeper(Protocol):
-    """Keeps what was taken on beyond the process. ``commit`` writes all that it was told since."""
+    """Keeps what was taken on beyond the process.
+
+    ``commit`` writes all that it was told since; if it can't, what was taken since is not kept, and the rest
+    is written with the next one.
+    """
 
     def taken(self, submission: Any) -> None: ...
 
@@ -94,7 +98,7 @@
 
     def over(self, message: str) -> None: ...
 
-    def commit(self) -> None: ...
+    def commit(self) -> bool: ...
 
 
 class Forgetful:
@@ -108,4 +112,5 @@
 
     def over(self, message: str) -> None: ...
 
-    def commit(self) -> None: ...
+    def commit(self) -> bool:
+        return True
--- a/honeybarrow/settings.py
+++ b/honeybarrow/settings.py
@@ -17,8 +17,8 @@
 Value = TypeVar("Value")
 
 
-class WireError(Exception):
-    """The input is not what the wire allows."""
+class SettingsError(ValueError):
+    """The settings are not what the library can use; the text names the part."""
 
 
 class Options:
@@ -26,7 +26,7 @@
 
     def __init__(self, value: Any, path: str) -> None:
         if not isinstance(value, dict):
-            raise WireError(f"'attach': {path or 'options'} is not an object")
+            raise SettingsError(f"{path or 'options'} is not an object")
         self.value: dict[str, Any] = value
         self.path = path
 
@@ -34,10 +34,10 @@
         value = self.value.get(key)
         if value is None:
             if default is None:
-                raise WireError(f"'attach': setting '{self.path}{key}' is missing")
+                raise SettingsError(f"setting '{self.path}{key}' is missing")
             return default
         if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise WireError(f"'attach': setting '{self.path}{key}' is not {what}")
+            raise SettingsError(f"setting '{self.path}{key}' is not {what}")
         return value
 
     def whole(self, key: str, default: int | None = None) -> int:
@@ -61,7 +61,7 @@
     def one_of(self, key: str, table: dict[str, Value], default: str) -> Value:
         value = self.text(key, default)
         if value not in table:
-            raise WireError(f"'attach': setting '{self.path}{key}' has the unknown value '{value}'")
+            raise SettingsError(f"setting '{self.path}{key}' has the unknown value '{value}'")
         return table[value]
 
 
@@ -70,7 +70,7 @@
     try:
         return settings_of(json.loads(text))
     except json.JSONDecodeError as error:
-        raise WireError(f"'attach': options are not JSON ({error.msg})") from None
+        raise SettingsError(f"options are not JSON ({error.msg})") from None
 
 
 def settings_of(value: Any) -> hb.Settings:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -855,38 +855,28 @@
     assert endpoint.health is health
 
 
-def test_a_connect_that_fails_by_chance_among_many_answers_is_no_sign_of_a_full_table() -> None:
+def closes_after(count: int, fails: range, status: hb.Status, pause_us: int) -> tuple[int, Caller]:
+    """Calls one after another, of which some first fail so: how often idle connections were closed."""
     it = caller(senders=2, slots=20)
-    for n in range(200):
+    for n in range(count):
         it.arrive(f"m{n}")
-        if n % 50 == 49:
-            it.end(f"m{n}", hb.Status.CONNECT_FAILED)
+        if n in fails:
+            it.end(f"m{n}", status)
             assert it.until_sent(f"m{n}", 3 * SECOND)
         it.end(f"m{n}", hb.Status.OK)
-        it.wait(50_000)
-    assert not any(isinstance(action, hb.CloseIdle) for action in it.other)
+        it.wait(pause_us)
+    return sum(isinstance(action, hb.CloseIdle) for action in it.other), it
+
+
+def test_a_connect_that_fails_by_chance_among_many_answers_is_no_sign_of_a_full_table() -> None:
+    assert closes_after(200, range(49, 200, 50), hb.Status.CONNECT_FAILED, 50_000)[0] == 0
 
 
 def test_connects_that_fail_often_show_a_full_table_for_long() -> None:
-    it = caller(senders=2, slots=20)
-    for n in range(60):
-        it.arrive(f"m{n}")
-        if n % 4 == 3 and n < 40:
-            it.end(f"m{n}", hb.Status.CONNECT_FAILED)
-            assert it.until_sent(f"m{n}", 3 * SECOND)
-        it.end(f"m{n}", hb.Status.OK)
-        it.wait(50_000)
-    closes = sum(isinstance(action, hb.CloseIdle) for action in it.other)
+    closes, it = closes_after(60, range(3, 40, 4), hb.Status.CONNECT_FAILED, 50_000)
     assert closes > 50 and it.sender.signs["shop"] > 0
 
 
 def test_one_loss_on_an_idle_connection_after_many_answers_closes_no_others() -> None:
-    it = caller(senders=2, slots=20)
-    for n in range(100):
-        it.arrive(f"m{n}")
-        if n % 40 == 39:
-            it.end(f"m{n}", hb.Status.RESET)
-            assert it.until_sent(f"m{n}", 3 * SECOND)
-        it.end(f"m{n}", hb.Status.OK)
-        it.wait(decide.STALE_IDLE_US + 1)
-    assert sum(isinstance(action, hb.CloseIdle) for action in it.other) <= 4  # after the losses themselves
+    # what is closed is closed after the losses themselves
+    assert closes_after(100, range(39, 100, 40), hb.Status.RESET, decide.STALE_IDLE_US + 1)[0] <= 4
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 import subprocess
 import sys
@@ -16,18 +17,19 @@
 from honeybarrow import http
 from honeybarrow import interface as hb
 from honeybarrow.forward import Forwarder, Outcome
+from honeybarrow.node import places
 from honeybarrow.node.calls import CallPool, Parcel, of_answer, read_load
-from honeybarrow.node.config import ConfigError, parse_config, parse_place
+from honeybarrow.node.config import ConfigError, parse_config
 from honeybarrow.node.desk import Desk
 from honeybarrow.node.discovery import QUIET_S, Discovery
-from honeybarrow.node.front import MUTE_S, SILENT_S, Front
-from honeybarrow.node.front import QUIET_S as CLIENT_QUIET_S
+from honeybarrow.node.front import Front
 from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
-from honeybarrow.node.listing import ListError, Listing, parse_line
-from honeybarrow.node.main import Node, PlainLog, Targets
+from honeybarrow.node.listing import ListError, Listing, Targets, parse_line, parse_place
+from honeybarrow.node.main import PlainLog
+from honeybarrow.node.places import MUTE_S, SILENT_S, Due, Shares, Stage, due, rank, share_out
 from honeybarrow.node.reports import Reports
 from honeybarrow.node.store import Journal
-from honeybarrow.recovery import Ending
+from honeybarrow.recovery import Ending, Resume, Taken
 from tests.helpers import CLASSES, SECOND, settings
 
 Status = hb.Status
@@ -415,6 +417,7 @@
         bench.clock.advance(0)
         answers.append(status(wire))
     assert answers == [b"202", b"409", b"429", b"503"] and bench.core.open == 1
+    assert b"\r\nRetry-After: " in wire.value()
 
 
 def test_an_id_that_has_ended_is_no_new_message(tmp_path: Path) -> None:
@@ -448,7 +451,7 @@
 def test_connections_stay_until_room_runs_out_and_then_the_served_go_first(tmp_path: Path) -> None:
     bench = Bench(tmp_path, most=3)
     quiet = served(bench)
-    bench.clock.pump([0.1] * int(10 * (CLIENT_QUIET_S + 1)))
+    bench.clock.pump([0.1] * int(10 * (places.QUIET_S + 1)))
     mute, _ = bench.client()
     bench.clock.pump([0.1] * int(10 * (MUTE_S + 0.2)))
     young = served(bench)
@@ -520,7 +523,8 @@
     listing = parse_line(line())
     assert listing.endpoints == (hb.Endpoint("s1", 3, hb.EndpointState.READY, "m", "", 2.5),)
     assert listing.addresses == {"s1": ("10.0.0.1", 9)}
-    for changes in ({"status": "?"}, {"group": "3"}, {"address": "x"}, {"name": ""}, {"weight": "1"}):
+    broken = ({"status": "?"}, {"group": "3"}, {"address": "x"}, {"name": ""}, {"weight": "1"})
+    for changes in (*broken, {"address": "name.example:9"}):  # the network has no names to look up
         assert parse_line(line(**changes)).endpoints == ()
     for bad in (b"", b"[]", b'{"endpoints":[]}', b'{"index":1}', b"[" * 5000):
         with pytest.raises(ListError):
@@ -633,7 +637,7 @@
     with pytest.raises(ConfigError):
         parse_config("{", environ)
     for place in ("1.2.3.4", "1.2.3.4:0", "1.2.3.4:99999", "1.2.3.400:1", ":80"):
-        with pytest.raises(ConfigError):
+        with pytest.raises(ValueError):
             parse_place(place)
 
 
@@ -679,15 +683,81 @@
     assert told == [(None, False), (250_000, True), (None, False)]
 
 
-def test_clients_get_no_more_than_half_of_the_descriptors(tmp_path: Path) -> None:
-    settings_text = {
-        "services": [{"name": "note", "aimUs": 1, "hardLimitUs": 2}],
-        "familyInfo": {"callSlots": 3},
-        "limits": {"maxOpen": 9},
-    }
-    for sockets, most in ((1024, 512), (384, 192), (64, 25)):
-        text = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1"}
-        whole = {**text, "limits": {"sockets": sockets}, "settings": settings_text}
-        config = parse_config(json.dumps(whole), {"ROUTER_STATE": str(tmp_path)})
-        node = Node(config, MemoryReactorClock(), lambda: 0, lambda: 0, lambda error: None)
-        assert node.front.most == most
+def test_descriptors_are_shared_out() -> None:
+    assert share_out(1024, 158) == Shares(clients=512, idle_targets=204)
+    assert share_out(384, 19) == Shares(clients=192, idle_targets=76)
+    assert share_out(64, 3) == Shares(clients=25, idle_targets=12)
+    assert share_out(30, 100) == Shares(clients=16, idle_targets=6)
+
+
+def test_who_makes_room_first() -> None:
+    order = [
+        (Stage.ENDING, True, 0.0),
+        (Stage.SERVED, True, places.QUIET_S + 1),
+        (Stage.SERVED, True, 0.0),
+        (Stage.SILENT, False, MUTE_S + 1),
+        (Stage.SILENT, False, 0.0),
+    ]
+    assert [rank(*each) for each in order] == [0, 1, 2, 3, 4]
+    assert rank(Stage.COMING, False, MUTE_S + 1) == 3
+    assert rank(Stage.COMING, True, 9.0) is None and rank(Stage.OPEN, False, 9.0) is None
+
+
+def test_what_is_due_by_age() -> None:
+    late = SILENT_S + 0.1
+    assert due(Stage.SILENT, False, late) is Due.CLOSE and due(Stage.COMING, False, late) is Due.REFUSE
+    assert due(Stage.COMING, True, places.REQUEST_S + 0.1) is Due.REFUSE
+    assert due(Stage.ENDING, True, places.LINGER_S + 0.1) is Due.ABORT
+    for stage in Stage:
+        assert due(stage, True, 0.1) is Due.NOTHING
+    assert due(Stage.SERVED, True, 999.0) is Due.NOTHING and due(Stage.OPEN, False, 999.0) is Due.NOTHING
+
+
+def test_what_can_not_be_kept_is_neither_promised_nor_sent(tmp_path: Path, monkeypatch: Any) -> None:
+    bench = Bench(tmp_path)
+
+    def full(fd: int, data: bytes) -> int:
+        raise OSError(28, "no space")
+
+    monkeypatch.setattr(os, "write", full)
+    connection, wire = bench.client()
+    bench.post(connection, "m1")
+    bench.clock.pump([0.01] * 3)
+    assert status(wire) == b"429" and b"Retry-After" in wire.value()
+    assert bench.core.open == 0 and bench.clock.tcpClients == []
+    monkeypatch.undo()
+    other, wire = bench.client()
+    bench.post(other, "m2")
+    bench.clock.advance(0)
+    assert status(wire) == b"202" and len(bench.clock.tcpClients) == 1
+
+
+def test_what_an_earlier_life_took_on_keeps_its_place_untried_or_not(tmp_path: Path) -> None:
+    bench = Bench(tmp_path, max_open=1)
+    for name in ("m1", "m2"):
+        taken = Taken(name, "note", 7, 3 * SECOND, "acme", "", b"x")
+        bench.desk.resume(Resume(taken, 3 * SECOND, 0, None))
+    bench.clock.advance(0)
+    assert bench.core.open == 2 and bench.reports.waiting == {}
+
+
+def test_nothing_unsafe_begins_while_the_process_is_about_to_end(tmp_path: Path) -> None:
+    bench = Bench(tmp_path)
+    bench.core.may_begin = lambda submission: submission.class_name != "pay"
+    connection, wire = bench.client()
+    bench.post(connection, "p1", cls="pay")
+    bench.clock.advance(0)
+    assert status(wire) == b"202" and bench.clock.tcpClients == []
+    bench.clock.pump([0.05] * 3)
+    kept = Journal(str(tmp_path), 1_000_000, bench.now).ledger.entries["p1"]
+    assert kept.first_doubt_us() is None and bench.core.open == 1
+
+
+def test_a_signal_that_comes_while_the_program_loads_is_kept_for_later() -> None:
+    code = (
+        "import os, signal\nfrom honeybarrow.node import signals\nsignals.catch()\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\nsignals.deliver(print)\n"
+        "os.kill(os.getpid(), signal.SIGTERM)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.split() == ["reload", "stop"]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -209,16 +209,61 @@
     assert refused and len(list(tmp_path.iterdir())) < 40
 
 
-def test_a_disk_that_takes_no_more_ends_taking_on(tmp_path: Path, monkeypatch: Any) -> None:
-    journal = open_journal(tmp_path)
+class Disk:
+    """A disk that takes so many more bytes of the journal; ``None``: any number."""
+
+    def __init__(self, patch: Any) -> None:
+        self.room: int | None = None
+        self._write = os.write
+        patch.setattr(os, "write", self.write)
+
+    def write(self, fd: int, data: bytes) -> int:
+        if self.room is None:
+            return self._write(fd, data)
+        if self.room == 0:
+            raise OSError(28, "no space")
+        part, self.room = data[: self.room], max(0, self.room - len(data))
+        return self._write(fd, part)
+
+
+@pytest.mark.parametrize("room", [0, 40])
+def test_a_full_disk_keeps_nothing_new_loses_nothing_old_and_goes_on_when_it_has_room(
+    tmp_path: Path, monkeypatch: Any, room: int
+) -> None:
+    disk, journal = Disk(monkeypatch), open_journal(tmp_path)
+    journal.taken(Sub("old"))
+    journal.taken(Sub("done"))
+    assert journal.commit()
+    disk.room = room
+    journal.taken(Sub("new"))
+    journal.began("new", 0)
+    journal.over("done")
+    assert not journal.commit() and journal.failed
+    assert sorted(open_journal(tmp_path).ledger.entries) == ["done", "old"]
+    disk.room = None
+    journal.began("old", 0)
+    assert journal.commit() and not journal.failed
+    entries = open_journal(tmp_path).ledger.entries
+    assert list(entries) == ["old"] and list(entries["old"].out) == [0]
 
-    def full(fd: int, data: bytes) -> int:
-        raise OSError(28, "no space")
 
-    monkeypatch.setattr(os, "write", full)
-    journal.taken(Sub("a"))
+def test_a_segment_that_can_not_be_copied_forward_stays(tmp_path: Path, monkeypatch: Any) -> None:
+    disk, journal = Disk(monkeypatch), open_journal(tmp_path)
+    journal.taken(Sub("old", bytes(2000)))
     journal.commit()
-    assert journal.failed and not journal.has_room("b", 1)
+    write = journal._write
+
+    def failing(records: list[Record]) -> bool:
+        disk.room = 0 if any(isinstance(each, Taken) and each.message == "old" for each in records) else None
+        return write(records)
+
+    monkeypatch.setattr(journal, "_write", failing)
+    for number in range(25):  # past the bound at which the oldest is copied forward
+        journal.taken(Sub(f"m{number}", bytes(2000)))
+        journal.over(f"m{number}")
+        journal.commit()
+    disk.room = None
+    assert list(open_journal(tmp_path).ledger.entries) == ["old"]
 
 
 def test_what_was_over_in_an_earlier_life_takes_no_room_in_the_next(tmp_path: Path) -> None:
