A call is looked at again where it is written: window, drain, told wait, end, stop

Cause: the module decides on a call at one moment, and its bytes are written at another. On a new connection that is when the connection is up; on mail the end of data comes after a greeting and four replies. Key's window, hard cap and told wait were looked at by decide.py (`_send`) alone, the list by node/calls.py (`_Call.ready`) too, forward/pool.py (`_Call.start`) looked at nothing.

Change: `Send.start_us` brings the module's bound; pools ask a `Permit` of the core where bytes are written (node: the request; mail: MAIL, and the end of data). What may not be written ends as not sent, proven not to have run. A last byte that finds no room in the system's buffer is given up at the bound. The module tells by `startable` whether an endpoint drains or has told to wait since. Beside it, read: a resumed message's doubt was counted from the plan, not from its turn, so a long start made it younger; mended.

--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -28,6 +28,7 @@
 from honeybarrow.observe import Both, Metrics, Spans
 from honeybarrow.register import Address, News, Partner, Row
 from honeybarrow.service import Service
+from tests.helpers import Leave
 
 reactor: Any = chosen
 SCRIPT = """
@@ -79,7 +80,7 @@
         while (event := self.session.next_event()) is not None:
             if isinstance(event, mail.Message):
                 parcel = Parcel(event.sender, event.recipients[0], event.content)
-                call = self.pool.call("sink", [Place("127.0.0.1", self.port)], parcel, 30_000_000)
+                call = self.pool.call("sink", [Place("127.0.0.1", self.port)], parcel, 30_000_000, Leave())
                 call.addCallback(self.called)
             elif isinstance(event, mail.Sender | mail.Recipient):
                 self.session.answer(mail.Reply(250, "2.0.0", "ok"))
--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -325,7 +325,7 @@
         self.keys: dict[int | None, deque[Message]] = {}
         self.key_rest: dict[int, int] = {}
         self.quota = {t.name: (t.quota_per_s / settings.senders, math.inf, 0) for t in settings.tenants}
-        self.heard = 0  # destinations so far
+        self.heard = itertools.count(1)  # destinations
         self.held = 0  # messages without a final answer
         self.due: list[tuple[int, str]] = []
         # Work that can't lead to a send is not begun: what follows finds the destinations where it may.
@@ -387,9 +387,8 @@
         self.asks = 0
         if news.kind is not hb.ListKind.CHANGES:
             named = {entry.target: None for entry in news.endpoints}
-            for endpoint in list(self.endpoints.values()):
-                if endpoint.target not in named:
-                    self._drop(endpoint)
+            for endpoint in [e for e in self.endpoints.values() if e.target not in named]:
+                self._drop(endpoint)
         for entry in news.endpoints:
             known = self.endpoints.get(entry.target)
             if entry.state is hb.EndpointState.GONE:
@@ -412,9 +411,7 @@
             self._touch(known.home)
             if self.settings.weights is not hb.Weights.NONE:
                 known.lane.listed = entry.weight
-        for number, home in list(self.destinations.items()):
-            if not home.endpoints and not home.waiting:
-                del self.destinations[number]
+        self.destinations = {n: h for n, h in self.destinations.items() if h.endpoints or h.waiting}
 
     def _drop(self, endpoint: Endpoint) -> None:
         self._touch(endpoint.home)
@@ -426,8 +423,7 @@
     def _home(self, number: int, kind_name: str) -> Destination:
         home = self.destinations.get(number)
         if home is None:
-            self.heard += 1
-            home = self.destinations[number] = Destination(hb.Kind(""), order=self.heard)
+            home = self.destinations[number] = Destination(hb.Kind(""), order=next(self.heard))
         if kind_name:
             home.kind = self.kinds.get(kind_name, hb.Kind(kind_name))
         return home
@@ -603,7 +599,6 @@
         if endpoint.health is Health.RAMP and self.now - endpoint.since_us >= self.settings.cold_us:
             endpoint.turn(Health.WELL, self.now)
             self.actions.append(hb.Log(f"warm again: {endpoint.target}"))
-            return
         if endpoint.health is Health.OUT and not chance:
             endpoint.turn(Health.RAMP, min(self.now, lane.opens_us))
             endpoint.next_us = self.now
@@ -691,10 +686,9 @@
         """What is lost by waiting: the fade after the aim, and all that is left at the end."""
         kind, fade = message.kind, self.settings.fade
         slack = message.born_us + kind.aim_us - self.now
+        slope = (1.0 - kind.late_share) / max(1, kind.deadline_us - kind.aim_us)
         if fade is hb.Fade.HALVES:
             slope = 0.7 * worth_at(kind, fade, self.now - message.born_us) / kind.aim_us
-        else:
-            slope = (1.0 - kind.late_share) / max(1, kind.deadline_us - kind.aim_us)
         # Danger: served by age alone, a backlog spends its calls on messages about to end, and on their
         # time-outs. The end presses only while a try can still come through; then the message goes last.
         spare = message.end_us - self.now - self._useful_us(message.home, NEED_TIMES)
@@ -893,7 +887,9 @@
         message.out += 1
         message.home.waiting.drop(message.id)
         self._touch(message.home)
-        self.actions.append(hb.Send(message.id, endpoint.target, self._timeout_us(message, call)))
+        # Danger: the call may be written later than now, past the hard cap or the window.
+        start = message.last_start_us(MARGIN_US) - now
+        self.actions.append(hb.Send(message.id, endpoint.target, self._timeout_us(message, call), start))
 
     def _answer(self, message: Message) -> None:
         """The only place that gives final answers, at once when a message is given up."""
@@ -928,6 +924,11 @@
             else:
                 del self.keys[message.key]
 
+    def startable(self, now_us: int, target: str) -> bool:
+        """Whether a call sent before may start there now: it neither drains nor has told to wait since."""
+        endpoint = self.endpoints.get(target)
+        return endpoint is not None and endpoint.usable and endpoint.lane.hold_us <= now_us
+
     def _make_room(self) -> None:
         """Hand back what is worth least before arrivals are turned away unseen."""
         for _ in range(self.held - int(self.settings.max_open * ROOM_FULL)):
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -20,7 +20,7 @@
 from honeybarrow.decide import Sender
 from honeybarrow.forward.outcome import Outcome
 from honeybarrow.mail import Reply
-from honeybarrow.seams import Clock, Forgetful, Keeper, Logger, Nobody, Observer
+from honeybarrow.seams import Clock, Forgetful, Keeper, Logger, Nobody, Observer, Permit
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,9 @@
 class Carrier(Protocol):
     """What carries calls to endpoints: the pool of one protocol. What a parcel holds is its own matter."""
 
-    def call(self, target: str, places: Sequence[Any], parcel: Any, timeout_us: int) -> Deferred[Outcome]: ...
+    def call(
+        self, target: str, places: Sequence[Any], parcel: Any, timeout_us: int, permit: Permit
+    ) -> Deferred[Outcome]: ...
 
     def close_idle(self, target: str) -> None: ...
 
@@ -106,6 +108,28 @@
     last: Outcome | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Permit:
+    """Leave to write one attempt; see :class:`honeybarrow.seams.Permit`. What it tells is the module's."""
+
+    core: Forwarder
+    held: _Held
+    target: str
+    until_us: int
+
+    def left_us(self) -> int:
+        return self.until_us - self.core.now_us()
+
+    def barred(self) -> str:
+        if self.held.over:
+            return "its message is over"
+        if self.left_us() < 0:
+            return "too late to start"
+        if not self.core.sender.startable(self.core.now_us(), self.target):
+            return "the endpoint drains or has told to wait"
+        return "" if self.core.may_begin(self.held.submission) else "stopping"
+
+
 @dataclass(slots=True)
 class Counts:
     """What has happened since the start."""
@@ -147,7 +171,7 @@
         self.places, self.subscribe, self.crashed = places, subscribe, crashed
         self.sender = Sender(settings, seed)
         self.rng = random.Random(seed)
-        self._now_us = now_us
+        self.now_us = now_us
         self._last_us = 0
         self._events: list[hb.Event] = []
         self._arrived: list[_Held] = []  # in this turn
@@ -182,7 +206,7 @@
             self.log.info("turned away", message=submission.message, held=self._open, wait_us=wait)
             done.callback(Refused(wait, "no room"))
             return done
-        held = _Held(submission, done, self._now_us(), submission.attempts)
+        held = _Held(submission, done, self.now_us(), submission.attempts)
         held.doubt = submission.doubt_us is not None
         self._held[submission.message] = held
         self._arrived.append(held)
@@ -251,7 +275,7 @@
         self._turning = False
         events, self._events = self._events, []
         # Danger: a clock that steps back would end the process by the module's own check.
-        now = self._last_us = max(self._last_us, self._now_us())
+        now = self._last_us = max(self._last_us, self.now_us())
         # A busy reactor comes to a message late; its time has run since it was taken, not since now.
         events = [self._since_taken(e, now) if isinstance(e, hb.MessageArrived) else e for e in events]
         try:
@@ -296,7 +320,11 @@
 
     def _since_taken(self, event: hb.MessageArrived, now: int) -> hb.MessageArrived:
         held = self._held.get(event.message)
-        return event if held is None else replace(event, left_us=event.left_us - (now - held.at_us))
+        if held is None:
+            return event
+        passed = now - held.at_us
+        doubt = None if event.doubt_us is None else event.doubt_us + passed
+        return replace(event, left_us=event.left_us - passed, doubt_us=doubt)
 
     def _carry_out(self, action: hb.Action) -> None:
         match action:
@@ -341,7 +369,7 @@
             why = "no slot" if slots_full else "stopping" if barred else "no address"
             why = why if self._kept else "its begin can't be kept"
             outcome = Outcome(hb.Status.NOT_SENT, True, why=why, slots_full=slots_full)
-            self._ended(held, number, action.target, self._now_us(), outcome)
+            self._ended(held, number, action.target, self.now_us(), outcome)
             return
         self._calls += 1
         self.counts.attempts += 1
@@ -353,8 +381,10 @@
             target=action.target,
             timeout_us=action.timeout_us,
         )
-        began = self._now_us()
-        call = self.pool.call(action.target, places, held.submission.parcel, action.timeout_us)
+        began = self.now_us()
+        # Counted from the decision: what has passed since in a long turn is gone.
+        permit = _Permit(self, held, action.target, self._last_us + action.start_us)
+        call = self.pool.call(action.target, places, held.submission.parcel, action.timeout_us, permit)
         call.addCallback(self._called, held, number, action.target, began)
         call.addErrback(self._bug, held, number, action.target, began)
 
@@ -372,7 +402,7 @@
         held.last = outcome
         held.doubt |= outcome.status is not hb.Status.OK and not outcome.not_run
         name = outcome.status.value
-        took = max(0, self._now_us() - began)
+        took = max(0, self.now_us() - began)
         held.called_us += took
         self.observer.ended(message, number, name, took, outcome.why)
         self.counts.outcomes[name] = self.counts.outcomes.get(name, 0) + 1
@@ -421,7 +451,7 @@
         self._open -= 1
         name = type(answer).__name__.lower()
         setattr(self.counts, name, getattr(self.counts, name) + 1)
-        took = self._now_us() - held.at_us
+        took = self.now_us() - held.at_us
         left = held.submission.left_us - took
         self.observer.answered(held.submission.message, name, took, held.called_us, left)
         self.log.info(
@@ -444,7 +474,7 @@
         held.over = held.gone = True
         self._open -= 1
         self.counts.withdrawn += 1
-        took = self._now_us() - held.at_us
+        took = self.now_us() - held.at_us
         left = held.submission.left_us - took
         self.observer.answered(message, "withdrawn", took, held.called_us, left)
         self.log.info("withdrawn", message=message, attempts=held.attempts, out=held.out)
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -24,7 +24,7 @@
 from honeybarrow.forward.outcome import Outcome, of_greeting, of_loss, of_reply, of_timeout
 from honeybarrow.interface import Status
 from honeybarrow.reaching import NEVER, Close, Connect, Over, Reaching, Step, Why
-from honeybarrow.seams import Clock, Delayed, Network
+from honeybarrow.seams import Clock, Delayed, Network, Permit
 
 Place = Address
 
@@ -68,12 +68,17 @@
             self.call.way.connected(self.number)
 
     def dataReceived(self, data: bytes) -> None:
-        call = self.call
+        call, before = self.call, self.session.committed
         if call is not None and not call.greeted(self, data):
             return  # another address greeted first; nothing was written here
         for event in self.session.receive(data):
             self._event(event)
         if call is not None and self.call is call:
+            # Danger: the replies before the end of data may have outlasted the window of its key.
+            if self.session.committed and not before and call.permit.left_us() < 0:
+                self.session.take_output()
+                call.withheld(self)
+                return
             call.went_on(self)
         self.flush()
 
@@ -145,9 +150,15 @@
     """One call: from the pool's promise to its one outcome. What to connect and close, its way says."""
 
     def __init__(
-        self, pool: Pool, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int
+        self,
+        pool: Pool,
+        target: str,
+        places: Sequence[Address],
+        parcel: Parcel,
+        timeout_us: int,
+        permit: Permit,
     ) -> None:
-        self.pool, self.target, self.parcel = pool, target, parcel
+        self.pool, self.target, self.parcel, self.permit = pool, target, parcel, permit
         self.done: Deferred[Outcome] = Deferred()
         now = pool.now_us()
         self.until_us = now + max(0, timeout_us)
@@ -226,8 +237,21 @@
     def start(self, connection: Connection) -> None:
         """The session is ready: write the transaction."""
         self.way.ready(self.pool.now_us(), connection.number)
+        if why := self.permit.barred():
+            # Danger: while it was reached the endpoint may have drained or told to wait, and a key's window
+            # may have ended: a transaction now would be new work.
+            connection.call = None
+            self.end(Outcome(Status.NOT_SENT, True, why=why))
+            self.pool.keep(connection)
+            return
         self._write(connection)
 
+    def withheld(self, connection: Connection) -> None:
+        """The content may not be written any more; nothing of it was."""
+        connection.call = None
+        self.end(Outcome(Status.NOT_SENT, True, why="too late for the end of data"))
+        connection.close(abort=True)
+
     def _write(self, connection: Connection) -> None:
         self.started = True
         left = (self.until_us - self.pool.now_us()) // 1_000_000 + 1
@@ -316,10 +340,10 @@
         return int(self.clock.seconds() * 1e6)
 
     def call(
-        self, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int
+        self, target: str, places: Sequence[Address], parcel: Parcel, timeout_us: int, permit: Permit
     ) -> Deferred[Outcome]:
         """Carry a parcel to an endpoint; its outcome, exactly one, within the time-out."""
-        call = _Call(self, target, places, parcel, timeout_us)
+        call = _Call(self, target, places, parcel, timeout_us, permit)
         self.calls.setdefault(target, []).append(call)
         call.begin(self._take_idle(target, places))
         return call.done
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -263,11 +263,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt. Sends of one reply to one target travel as one call, if bundled."""
+    """Start an attempt. Sends of one reply to one target travel as one call, if bundled.
+
+    ``start_us``: how long from now its last byte may still be written, where that comes later than the
+    decision, as on a connection that has to come up first. Past it the attempt ends as one that has not run.
+    """
 
     message: str
     target: str
     timeout_us: int
+    start_us: int = 1 << 62
 
 
 @dataclass(slots=True, frozen=True)
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -22,7 +22,7 @@
 from honeybarrow.node.keeping import Keeping
 from honeybarrow.node.listing import Place
 from honeybarrow.node.wire import still_quiet, unwritten, write_now
-from honeybarrow.seams import Clock, Delayed, Network
+from honeybarrow.seams import Clock, Delayed, Network, Permit
 
 SWEEP_S = 0.5  # between looks at kept connections
 IDLE_SHARE = 0.75  # of the time after which a target closes what is idle; a request that meets that is lost
@@ -159,8 +159,10 @@
 class _Call:
     """One call: from the pool's promise to its one outcome."""
 
-    def __init__(self, pool: CallPool, target: str, parcel: Parcel, timeout_us: int) -> None:
-        self.pool, self.target, self.parcel = pool, target, parcel
+    def __init__(
+        self, pool: CallPool, target: str, parcel: Parcel, timeout_us: int, permit: Permit
+    ) -> None:
+        self.pool, self.target, self.parcel, self.permit = pool, target, parcel, permit
         self.done: Deferred[Outcome] = Deferred()
         self.until = pool.clock.seconds() + timeout_us / 1e6
         self.connection: Connection | None = None
@@ -188,9 +190,11 @@
 
     def ready(self, connection: Connection) -> None:
         """The connection is up: write the call."""
-        if not self.pool.wanted(self.target):
-            # Danger: the list may have said so while the connection came up; a first byte now is new work.
-            self.end(Outcome(Status.NOT_SENT, True, why="the target is no longer listed"))
+        # Danger: while the connection came up the list may have said that the target leaves, another call may
+        # have been told to wait, and a key's window may have ended: a first byte now would break a rule.
+        gone = not self.pool.wanted(self.target)
+        if why := "the target is no longer listed" if gone else self.permit.barred():
+            self.end(Outcome(Status.NOT_SENT, True, why=why))
             self.pool.keep(connection)
             return
         now = self.pool.clock.seconds()
@@ -211,11 +215,15 @@
             connection.call = None
             connection.close()
             self.end(Outcome(Status.CONNECT_FAILED, True, why=str(error)))
+            return
+        if not self.written and self.timer is not None:  # its last byte waits for room, and not for ever
+            self.timer.cancel()
+            left = min(self.until - now, self.permit.left_us() / 1e6)
+            self.timer = self.pool.clock.callLater(max(0.0, left), self._late)
 
     def lost(self, connection: Connection, why: str) -> None:
         """The connection is gone, or never came up."""
-        cut = not self.written and connection.transport is not None and unwritten(connection.transport)
-        if not self.begun or cut:
+        if not self.begun or self._cut(connection):
             self.end(Outcome(Status.CONNECT_FAILED, True, why=why))
         else:
             self.note(connection.reader is None or not connection.reader.started)
@@ -225,9 +233,20 @@
         """Tell what kept connections are worth."""
         self.pool.keeping.ended(int(self.pool.clock.seconds() * 1e6), self.idle_us, lost)
 
+    def _cut(self, connection: Connection | None) -> bool:
+        """Whether its last byte has not reached the system, so that it has not run."""
+        transport = connection.transport if connection is not None else None
+        return self.begun and not self.written and transport is not None and unwritten(transport)
+
     def _late(self) -> None:
         self.timer = None
         connection = self.connection
+        cut = self._cut(connection)
+        left = self.until - self.pool.clock.seconds()
+        if self.begun and not cut and left > 0:  # it was only late to be written
+            self.written = True
+            self.timer = self.pool.clock.callLater(left, self._late)
+            return
         if connection is not None:
             connection.call = None
             connection.close()  # Danger: its answer may still come, and would be taken for the next call's
@@ -235,6 +254,8 @@
             if self.connector is not None:
                 self.connector.stopConnecting()
             self.end(Outcome(Status.CONNECT_FAILED, True, why="not connected in time"))
+        elif cut:
+            self.end(Outcome(Status.TIMEOUT, True, why="not written in time"))
         else:
             self.note(connection is None or connection.reader is None or not connection.reader.started)
             self.end(Outcome(Status.TIMEOUT, why="no answer in time"))
@@ -278,10 +299,10 @@
         clock.callLater(SWEEP_S, self._sweep)
 
     def call(
-        self, target: str, places: Sequence[Place], parcel: Parcel, timeout_us: int
+        self, target: str, places: Sequence[Place], parcel: Parcel, timeout_us: int, permit: Permit
     ) -> Deferred[Outcome]:
         """Carry a parcel to a target; its outcome, exactly one, within the time-out."""
-        call = _Call(self, target, parcel, timeout_us)
+        call = _Call(self, target, parcel, timeout_us, permit)
         self.calls += 1
         place = places[0]
         call.start(self._take(target, place, parcel.effect), place)
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -110,12 +110,11 @@
         self.port = self.reactor.listenTCP(port, self.front, backlog=512, interface=host)
         self.targets.take(self.config.known)
         self.core.news(self.config.known.news(hb.ListKind.SAVED))
-        steps = plan(
-            list(self.journal.ledger.entries.values()), self.core.sender.classes, self._wall_us()
-        )
+        planned = self._wall_us()
+        steps = plan(list(self.journal.ledger.entries.values()), self.core.sender.classes, planned)
         for step in steps:
             if isinstance(step, Resume):
-                self.desk.resume(step)
+                self.desk.resume(step.after(self._wall_us() - planned))
             else:
                 self.desk.end(step)
         resumed = sum(isinstance(step, Resume) for step in steps)
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -135,6 +135,12 @@
     attempts: int
     doubt_us: int | None
 
+    def after(self, passed_us: int) -> Resume:
+        """The same, so much later: a long start eats up time left, and windows of keys."""
+        passed = max(0, passed_us)
+        doubt = None if self.doubt_us is None else self.doubt_us + passed
+        return replace(self, left_us=self.left_us - passed, doubt_us=doubt)
+
 
 def plan(
     entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int
--- a/honeybarrow/seams.py
+++ b/honeybarrow/seams.py
@@ -43,6 +43,22 @@
     def listenUNIX(self, address: str, factory: Any) -> Any: ...
 
 
+class Permit(Protocol):
+    """Leave to write a call that was decided before: asked again where its bytes are written.
+
+    Between the two a connection comes up or replies are awaited, and meanwhile the endpoint may drain or tell
+    to wait, and the time in which a repeat is harmless may end.
+    """
+
+    def barred(self) -> str:
+        """Why no byte of the call may be written now; empty if it may."""
+        ...
+
+    def left_us(self) -> int:
+        """For how long its last byte may still be written, in microseconds; negative if it may not."""
+        ...
+
+
 class Logger(Protocol):
     """What is used of a structured logger."""
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,6 +33,19 @@
     return hb.Settings(**{**values, **changes})
 
 
+class Leave:
+    """A permit to write calls, which a test may take back."""
+
+    def __init__(self, left_us: int = 1 << 62, why: str = "") -> None:
+        self.left, self.why = left_us, why
+
+    def barred(self) -> str:
+        return self.why
+
+    def left_us(self) -> int:
+        return self.left
+
+
 class Caller:
     """Feeds a sender, keeps its timers, and remembers what it did."""
 
