--- a/benchmarks/shared_limit.py
+++ b/benchmarks/shared_limit.py
@@ -1,8 +1,8 @@
 """Many senders at destinations whose limits they share: the module alone, in simulated time.
 
-Each of hundreds of senders sees a few messages a second, and a destination refuses what is above a limit for all of
-them together. Tells capacity that was left unused while messages waited from capacity that was never there, and
-counts what refusals cost. Servers and clients are simple models, and all figures are of these.
+Each of hundreds of senders sees a few messages a second, and a destination refuses what is above a limit for
+all of them together. Tells capacity that was left unused while messages waited from capacity that was never
+there, and counts what refusals cost. Servers and clients are simple models, and all figures are of these.
 
     python -m benchmarks.shared_limit --senders 200 --seeds 1,2 --load 0.7
 """
@@ -48,6 +48,8 @@
     seconds: float = 30.0
     clumps: float = 0.1
     burst: tuple[float, float, float] = (10.0, 16.0, 1.5)  # from, to, times the usual
+    refused_count: bool = False
+    rates: bool = False  # no counts in spans, plain rates alone
     skew: float = 0.8  # of the traffic of senders: sigma of a lognormal
     seed: int = 1
 
@@ -66,6 +68,7 @@
     tells: float
     speed: float
     listed: float
+    refused_count: bool  # refused calls use up the limit too
     busy: int = 0
     waiting: deque[tuple[int, Any]] = field(default_factory=deque)
     tokens: float = 0.0
@@ -84,6 +87,7 @@
             if (span := now // self.span_us) != self.span:
                 self.span, self.count = span, 0
             if self.count >= self.limit * self.span_us / SECOND:
+                self.count += self.refused_count
                 wait = (span + 1) * self.span_us - now
                 return False, wait if rng.random() < self.tells else 0
         elif self.limit:
@@ -91,6 +95,7 @@
             self.tokens = min(cap, self.tokens + self.limit * (now - self.at_us) / SECOND)
             self.at_us = now
             if self.tokens < 1.0:
+                self.tokens = max(0.0, self.tokens - self.refused_count)
                 wait = max(300_000, int((1.0 - self.tokens) / self.limit * SECOND))
                 return False, wait if rng.random() < self.tells else 0
         if self.busy >= self.workers and len(self.waiting) >= self.queue:
@@ -121,7 +126,7 @@
         head = rng.uniform(1.0, 2.2) if kind == "large" else rng.uniform(1.2, 2.3)
         limit = max(rng.uniform(1.6, 5.0), head * full)
         unlimited = kind == "plain" and rng.random() < 0.5
-        span = 0 if kind == "plain" else 2 * SECOND
+        span = 0 if kind == "plain" or shape.rates else 2 * SECOND
         tells = {"large": (0.7, 0.97), "plain": (0.11, 0.56), "small": (0.03, 0.46)}[kind]
         capacity = limit * rng.uniform(1.2, 1.6)
         workers = max(1, round(capacity * 0.11))
@@ -129,6 +134,7 @@
             Destination(
                 rank + 1, kind, weight, 0.0 if unlimited else limit, span, workers, 3 * workers,
                 rng.uniform(*tells), rng.uniform(0.8, 1.2), limit * rng.uniform(0.67, 1.5),
+                shape.refused_count,
             )
         )  # fmt: skip
     return found
@@ -219,7 +225,8 @@
             return
         self.held[message.destination] += 1
         self.owner[ident] = number
-        self.tell(number, hb.MessageArrived(ident, CLASSES[message.kind].name, message.destination, left, "t"))
+        name_of_class = CLASSES[message.kind].name
+        self.tell(number, hb.MessageArrived(ident, name_of_class, message.destination, left, "t"))
 
     def ended(self, ident: str, number: int) -> None:
         self.held[self.messages[ident.split("/")[0]].destination] -= 1
@@ -255,8 +262,8 @@
         taken, wait = place.takes(self.now, self.rng)
         if not taken:
             place.refused += 1
-            load = place.load(self.now)
-            self.at(self.now + int(self.rng.uniform(*WAY_US)), lambda: self.end(call, hb.Status.FULL, wait, load))
+            load, back = place.load(self.now), self.now + int(self.rng.uniform(*WAY_US))
+            self.at(back, lambda: self.end(call, hb.Status.FULL, wait, load))
             return
         place.took += 1
         place.spans[second] += 1
@@ -306,7 +313,7 @@
         end = SECOND + int(shape.seconds * SECOND)
         weights = [place.weight for place in self.places]
         large = [place for place in self.places if place.kind == "large"]
-        size = 1.5 * sum(p.weight * (p.limit or 50.0) for p in self.places) / sum(weights)  # mean of a clump
+        size = 2.25 * sum(p.weight * (p.limit or 50.0) for p in self.places) / sum(weights)  # mean of a clump
         number, now = 0, float(SECOND)
         from_s, to_s, times = shape.burst
         while now < end:
@@ -318,8 +325,8 @@
             among = large if kind == 2 else self.places
             place = rng.choices(among, [p.weight for p in among] if kind == 2 else weights)[0]
             some = 1
-            if rng.random() < shape.clumps / size:  # about as many as it takes in a second or two
-                some = max(1, int((place.limit or 50.0) * rng.uniform(1.0, 2.0)))
+            if rng.random() < shape.clumps / size:  # about as many as it takes in 1 to 3.5 s
+                some = max(1, int((place.limit or 50.0) * rng.uniform(1.0, 3.5)))
             for _ in range(some):
                 number += 1
                 name = f"m{number}"
@@ -384,14 +391,25 @@
     parser.add_argument("--each", type=float, default=6.5, help="messages a second for each sender")
     parser.add_argument("--load", type=float, default=0.7, help="part of full load")
     parser.add_argument("--skew", type=float, default=0.8, help="how unlike the senders' traffic is")
+    parser.add_argument("--refused-count", action="store_true", help="refused calls use up limits too")
+    parser.add_argument("--rates", action="store_true", help="limits are plain rates, no counts in spans")
+    parser.add_argument("--clumps", type=float, default=0.1, help="part of the messages that comes in clumps")
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--seeds", default="1,2")
     parser.add_argument("--jobs", type=int, default=2)
     given = parser.parse_args()
     shapes = [
         Shape(
-            given.senders, each_per_s=given.each, load=given.load, skew=given.skew, seconds=given.seconds, seed=int(seed)
-        )  # fmt: skip
+            senders=given.senders,
+            each_per_s=given.each,
+            load=given.load,
+            seconds=given.seconds,
+            clumps=given.clumps,
+            refused_count=given.refused_count,
+            rates=given.rates,
+            skew=given.skew,
+            seed=int(seed),
+        )
         for seed in given.seeds.split(",")
     ]
     with ProcessPoolExecutor(given.jobs) as pool:
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -361,13 +361,13 @@
         number, held.attempts = held.attempts, held.attempts + 1
         held.out += 1
         places = self.places(action.target)
+        # Counted from the decision: what has passed since in a long turn is gone.
+        permit = _Permit(self, held, action.target, self._last_us + action.start_us)
         slots_full = self._calls >= self.settings.slots
-        barred = not self.may_begin(held.submission)
+        why = "no slot" if slots_full else permit.barred() or ("" if places else "no address")
         # Danger: an attempt whose begin is not on disk is taken for one that never was, and repeated.
-        if not places or held.over or slots_full or barred or not self._kept:
+        if why := why if self._kept else "its begin can't be kept":
             self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
-            why = "no slot" if slots_full else "stopping" if barred else "no address"
-            why = why if self._kept else "its begin can't be kept"
             outcome = Outcome(hb.Status.NOT_SENT, True, why=why, slots_full=slots_full)
             self._ended(held, number, action.target, self.now_us(), outcome)
             return
@@ -382,8 +382,6 @@
             timeout_us=action.timeout_us,
         )
         began = self.now_us()
-        # Counted from the decision: what has passed since in a long turn is gone.
-        permit = _Permit(self, held, action.target, self._last_us + action.start_us)
         call = self.pool.call(action.target, places, held.submission.parcel, action.timeout_us, permit)
         call.addCallback(self._called, held, number, action.target, began)
         call.addErrback(self._bug, held, number, action.target, began)
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -311,8 +311,9 @@
                 connection.call = None
                 connection.close(abort=True)
         self.connections.clear()
-        well = outcome.status in (Status.OK, Status.REJECTED)
-        self.pool.book.call_ended(self.pool.now_us(), self.target, well)
+        if outcome.status is not Status.NOT_SENT:  # which tells nothing of the endpoint
+            well = outcome.status in (Status.OK, Status.REJECTED)
+            self.pool.book.call_ended(self.pool.now_us(), self.target, well)
         self.pool.ended(self)
         self.done.callback(outcome)
 
