Membership: questions for others are bounded; unused fields of the model go

Cause, found in rereading: each question asked for another member was kept till answered, without a bound and for any name, and the lives taken on were listed without a bound within a minute. Two fields of the load model were never used.

Change: such questions go only to known members and up to the bound on members; the list of lives is cut.

Result: the new test fails without the bound; 22 tests of membership passed, types and lint clean.

--- a/benchmarks/shared_limit.py
+++ b/benchmarks/shared_limit.py
@@ -75,10 +75,8 @@
     at_us: int = 0
     span: int = -1
     count: int = 0
-    seen: deque[int] = field(default_factory=deque)
     took: int = 0
     refused: int = 0
-    free_us: float = 0.0  # integral of the part of the limit that was unused while messages for it were held
     spans: list[int] = field(default_factory=list)  # calls taken in each second
 
     def takes(self, now: int, rng: random.Random) -> tuple[bool, int]:
--- a/honeybarrow/fleet/membership.py
+++ b/honeybarrow/fleet/membership.py
@@ -277,7 +277,8 @@
         match message:
             case Ping(number):
                 self._say(sender, Ack(number, self._words_for(sender)))
-            case PingFor(number, target):
+            # Danger: each of these is kept till it is answered; strangers could ask without end.
+            case PingFor(number, target) if self._asks_for(target):
                 own = self._number()
                 self._asked[own] = _Asked(target, now + self.rules.answer_us, number, sender)
                 self._say(target, Ping(own, self._words_for(target)))
@@ -312,6 +313,9 @@
         self._asked[number] = _Asked(name, now + self.rules.answer_us * (1 + self.health))
         self._say(name, Ping(number, self._words_for(name)))
 
+    def _asks_for(self, target: str) -> bool:
+        return target in self.members and len(self._asked) < self.rules.members_most
+
     def _answered(self, number: int) -> None:
         asked = self._asked.pop(number, None)
         if asked is None:
@@ -406,7 +410,8 @@
     def _of_me(self, now: int, word: Word) -> None:
         if word.life > self.me.life:
             # An earlier process of this name had a later number: its clock was ahead, or it still runs.
-            self._lives = [at for at in self._lives if at > now - 60 * SECOND] + [now]
+            lately = [at for at in self._lives if at > now - 60 * SECOND]
+            self._lives = [*lately[: self.rules.lives_most], now]
             if len(self._lives) > self.rules.lives_most:
                 self._actions.append(Replaced(word.life))
                 return
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -19,6 +19,7 @@
     Message,
     Nack,
     Ping,
+    PingFor,
     Replaced,
     Rules,
     Say,
@@ -287,6 +288,13 @@
     assert isinstance(answer[0], Say) and answer[0].to == "who" and isinstance(answer[0].message, Ack)
 
 
+def test_questions_for_others_are_bounded_and_only_for_members() -> None:
+    member = Membership("a", "z", "", 1, ["b"], random.Random(1), Rules(members_most=3))
+    member.swapped(0, [Word("x", State.ALIVE, 1, 0)])
+    asked = [member.received(0, "b", PingFor(n, "x")) for n in range(9)]
+    assert sum(map(bool, asked)) == 3 and member.received(0, "b", PingFor(1, "who")) == []
+
+
 def test_a_late_answer_of_a_number_not_asked_is_nothing() -> None:
     member = Membership("a", "z", "", 1, ["b"], random.Random(1))
     assert member.received(0, "b", Ack(99)) == [] and member.received(0, "b", Nack(98)) == []
