--- /dev/null
+++ b/benchmarks/zone_verdicts.py
@@ -0,0 +1,102 @@
+"""How soon a fleet leaves a zone that fails, and how often one that serves: a model of members and calls.
+
+python -m benchmarks.zone_verdicts --sizes 9,50,200 --seeds 10 --quiet-days 200 --jobs 4
+"""
+
+from __future__ import annotations
+
+import random
+from concurrent.futures import ProcessPoolExecutor
+
+import click
+
+from honeybarrow import interface as hb
+from honeybarrow.lab.members import SECOND, Fault, Members, Plan
+
+STATUSES = {
+    "silent": (hb.Status.TIMEOUT, 1_300_000),
+    "refuses": (hb.Status.CONNECT_FAILED, 2_000),
+    "errors": (hb.Status.ERROR, 50_000),
+}
+
+
+def fails(job: tuple[int, str, int]) -> tuple[int, int, int, int, float]:
+    """Seconds (in microseconds) from the first loss known till the first and the last member left, calls lost
+    before the last left, calls lost after, and datagrams a second a member."""
+    size, how, seed = job
+    status, took = STATUSES[how]
+    rng = random.Random(f"{size}/{how}/{seed}")
+    at = int(rng.uniform(12, 14) * SECOND)
+    fault = Fault("z1", at, 12 * SECOND, status=status, took=took)
+    zones = tuple(f"z{n}" for n in range(3 if size < 100 else 4))
+    plan = Plan(zones, size, 6 if size < 100 else 20, rate=4.0, loss=0.01, call_loss=0.002, faults=(fault,))
+    fleet = Members(plan, seed)
+    fleet.run(24)
+    firsts: dict[str, int] = {}
+    for when, who, _ in fleet.noted("zone left"):
+        firsts.setdefault(who, when)
+    left = list(firsts.values())
+    lost = [c for c in fleet.calls("z1", at) if c.lost]
+    first = lost[0].sent_us + took
+    before = sum(c.sent_us < max(left) for c in lost)
+    assert len(left) == size, f"{len(left)} of {size} left ({job})"
+    return (
+        min(left) - first,
+        max(left) - first,
+        before,
+        len(lost) - before,
+        fleet.happened.datagrams / 24 / size,
+    )
+
+
+def quiet(seed: int) -> tuple[int, list[str]]:
+    """A drawn day on which no zone fails: the zones that were left all the same."""
+    rng = random.Random(f"quiet/{seed}")
+    size = rng.choice([6, 9, 12, 20])
+    faults = [
+        Fault(
+            rng.choice("abc"),
+            int(rng.uniform(5, 50) * SECOND),
+            int(rng.uniform(2, 20) * SECOND),
+            partners=(rng.randrange(6),),
+            status=status,
+            took=took,
+        )
+        for status, took in rng.choices(list(STATUSES.values()), k=2)
+    ]
+    fleet = Members(
+        Plan(members=size, rate=rng.choice([1.0, 3.0, 8.0]), loss=0.05, call_loss=0.05, faults=tuple(faults)),
+        seed,
+    )
+    for _ in range(12):
+        fleet.run(5)
+        if rng.random() < 0.5:
+            fleet.stall(rng.choice(fleet.names), int(rng.uniform(1, 6) * SECOND))
+    return seed, sorted({note.path for _, _, note in fleet.noted("zone left")})
+
+
+@click.command()
+@click.option("--sizes", default="9,50,200")
+@click.option("--seeds", default=10)
+@click.option("--quiet-days", default=200)
+@click.option("--jobs", default=4)
+def main(sizes: str, seeds: int, quiet_days: int, jobs: int) -> None:
+    """Play and print."""
+    with ProcessPoolExecutor(jobs) as pool:
+        for size in map(int, sizes.split(",")):
+            for how in STATUSES:
+                rows = list(pool.map(fails, [(size, how, seed) for seed in range(seeds)]))
+                last = sorted(row[1] / SECOND for row in rows)
+                click.echo(
+                    f"{size:4} members, {how:8} first {min(r[0] for r in rows) / SECOND:.2f} s, last left"
+                    f" {last[len(last) // 2]:.2f} s (worst {last[-1]:.2f} s) after the first loss was known;"
+                    f" lost before {sum(r[2] for r in rows) / seeds:.0f},"
+                    f" after {sum(r[3] for r in rows) / seeds:.0f};"
+                    f" {sum(r[4] for r in rows) / seeds:.1f} datagrams a second a member"
+                )
+        wrong = [row for row in pool.map(quiet, range(quiet_days)) if row[1]]
+        click.echo(f"{quiet_days} days on which no zone fails: {len(wrong)} with a zone left {wrong[:10]}")
+
+
+if __name__ == "__main__":
+    main()
--- a/honeybarrow/fleet/membership.py
+++ b/honeybarrow/fleet/membership.py
@@ -220,6 +220,11 @@
         """Who lives as far as is known, this member included unless it has left; suspects count as living."""
         return [word for word in self.words() if word.up]
 
+    @property
+    def joined(self) -> bool:
+        """Whether another member has told its list."""
+        return self._joined
+
     def known(self) -> list[Word]:
         """Who belongs to the fleet, dead or alive: what a majority is counted of."""
         return [word for word in self.words() if word.state is not State.LEFT]
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -159,9 +159,7 @@
 class _Call:
     """One call: from the pool's promise to its one outcome."""
 
-    def __init__(
-        self, pool: CallPool, target: str, parcel: Parcel, timeout_us: int, permit: Permit
-    ) -> None:
+    def __init__(self, pool: CallPool, target: str, parcel: Parcel, timeout_us: int, permit: Permit) -> None:
         self.pool, self.target, self.parcel, self.permit = pool, target, parcel, permit
         self.done: Deferred[Outcome] = Deferred()
         self.until = pool.clock.seconds() + timeout_us / 1e6
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -85,9 +85,7 @@
         told = self.ending
         ending = None if told is None else (told.handed_back, told.retry_ms)
         out = tuple(self.out.items())
-        return replace(
-            self.taken, attempts=self.attempts, doubt_us=self.doubt_us, out=out, ending=ending
-        )
+        return replace(self.taken, attempts=self.attempts, doubt_us=self.doubt_us, out=out, ending=ending)
 
     def first_doubt_us(self) -> int | None:
         """When the first attempt began that may have run, were the process to end now."""
@@ -142,9 +140,7 @@
         return replace(self, left_us=self.left_us - passed, doubt_us=doubt)
 
 
-def plan(
-    entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int
-) -> list[Resume | Ending]:
+def plan(entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int) -> list[Resume | Ending]:
     """What becomes of each message of an earlier life, in the order of their taking."""
     steps: list[Resume | Ending] = []
     for entry in entries:
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -92,9 +92,7 @@
             "endpoints": [{**entry, "status": "active", "weight": 1.0, "since_ms": 0}],
         }
 
-    async def discovery(
-        self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def discovery(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
             start, _, body = message
             if start.startswith("POST /reports"):
