--- a/honeybarrow/addresses.py
+++ b/honeybarrow/addresses.py
@@ -33,6 +33,14 @@
 KEEP_LEAST_US = 100_000
 
 
+def read_place(text: str) -> tuple[str, int] | None:
+    """``host:port``, or nothing if it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    return host.strip("[]"), int(port)
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """Where an endpoint listens: host and port, or the path of a Unix socket.
--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import signal
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +21,7 @@
 
 from honeybarrow.config.schema import Forwarder
 from honeybarrow.rehearsal import Logbook, Play, Rehearsal, report
+from honeybarrow.rehearsal.links import Relays, Way
 
 START_S = 20.0  # an interpreter and its libraries, on a machine that is busy
 POLL_S = 0.1
@@ -68,9 +71,13 @@
 class Processes:
     """Launches ``honeybarrow run`` for each forwarder of a scenario file."""
 
-    def __init__(self, file: Path, folder: Path) -> None:
+    def __init__(self, file: Path, folder: Path, forwarders: Sequence[Forwarder] = (), seed: int = 1) -> None:
         self.file, self.folder = file, folder
         self.children: dict[str, tuple[Child, Any]] = {}
+        self.relays = Relays(reactor, forwarders, random.Random(f"links/{seed}"))
+
+    def link(self, sender: str, to: str, way: Way) -> None:
+        self.relays.link(sender, to, way)
 
     def start(self, settings: Forwarder) -> Deferred[None]:
         name = settings.name
@@ -156,8 +163,8 @@
         click.echo(f"{time.monotonic() - began:6.1f} s  {text}", err=True)
 
     book = Logbook(lambda: time.monotonic_ns() // 1000)
-    processes = Processes(file, folder)
     try:
+        processes = Processes(file, folder, forwarders, scenario.seed)
         rehearsal = Play(scenario, forwarders, processes, reactor, book, told)
     except CannotListenError as error:
         click.echo(f"honeybarrow: {error}", err=True)
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -17,13 +17,13 @@
 import msgspec
 
 from honeybarrow import __version__, config
-from honeybarrow.cli import lab
+from honeybarrow.cli import fleet, lab
 from honeybarrow.cli.logs import LEVELS, start_logging
 from honeybarrow.collector import calm
 from honeybarrow.config import schema
 from honeybarrow.identity import check_password, hash_password, read_accounts
 from honeybarrow.interface import check as check_module
-from honeybarrow.rehearsal.schema import SCENARIO_WORDS, Rehearsal
+from honeybarrow.rehearsal.schema import LINK_KINDS, SCENARIO_WORDS, Rehearsal
 
 BROKEN, USAGE, CANNOT_LISTEN, FAULT = 1, 2, 3, 70
 
@@ -97,6 +97,7 @@
 
     reactor: Any = chosen
     saved = Path(settings.register.saved_list) if settings.register.saved_list else None
+    verdicts = Path(settings.fleet.saved) if settings.fleet and settings.fleet.saved else None
     status = 0
 
     def crashed(error: Exception) -> None:
@@ -126,6 +127,7 @@
         tls,
         password,
         spans,
+        (lambda: read_saved(verdicts), lambda data: write_saved(verdicts, data, log)),
     )
     try:
         places = service.start()
@@ -167,7 +169,7 @@
         monotonic_us, keep=False, tell=lambda entry: log.info(entry.what, by=entry.who, **entry.fields)
     )
     try:
-        parts = StandIns(scenario, forwarders[0] if forwarders else None, reactor, book)
+        parts = StandIns(scenario, forwarders, reactor, book)
     except CannotListenError as error:
         fail(str(error), CANNOT_LISTEN)
     for partner in scenario.partners:
@@ -176,7 +178,7 @@
             log.info("listening", partner=partner.name, endpoint=station.target, port=port)
     log.info("listening", register=parts.register_port)
     for trouble in scenario.troubles:
-        if trouble.kind not in ("kill", "burst"):
+        if trouble.kind not in ("kill", "stall", "burst", "zone_cut", *LINK_KINDS):
             reactor.callLater(trouble.at / 1e6, parts.trouble, trouble)
     reactor.run()
 
@@ -390,4 +392,5 @@
         log.warning("the list can't be saved", why=str(error))
 
 
+main.add_command(fleet.fleet)
 main.add_command(lab.make(lambda file: find_scenario(file)[1:]))
--- a/honeybarrow/config/schema.py
+++ b/honeybarrow/config/schema.py
@@ -12,6 +12,7 @@
 from msgspec import Meta
 
 from honeybarrow import interface as hb
+from honeybarrow.addresses import read_place
 from honeybarrow.identity import Identity, KnownClient
 from honeybarrow.territory import Territory
 
@@ -157,6 +158,58 @@
     answer_timeout: Positive = 5_000_000
 
 
+PEER = re.compile(r"([A-Za-z0-9][A-Za-z0-9._-]{0,63})@(.+)")
+ZonePath = Annotated[
+    str, Meta(max_length=128, pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*(/[A-Za-z0-9][A-Za-z0-9._-]*)*)?$")
+]
+
+
+class Fleet(Strict, frozen=True):
+    """The fleet of this forwarder (``docs/fleet.md``). ``listen``: host and port, for datagrams and streams.
+
+    ``peers``: ``name@host:port`` of some others, through which it joins; this one among them is passed over,
+    so that all may have the same list. ``address``: what others are told, if not ``listen``. ``zone``: a zone
+    as the register's list has it; that of the forwarder, if not given. ``saved``: a file for the verdicts.
+    """
+
+    name: Name
+    listen: str
+    peers: Annotated[tuple[str, ...], Meta(min_length=1, max_length=1000)]
+    zone: ZonePath = ""
+    address: str = ""
+    saved: str = ""
+    period: Positive = 500_000  # between two questions whether a member lives
+    first_trial: Positive = 2_000_000  # of a zone that is out; the waits between trials grow from there
+    last_trial: Positive = 60_000_000  # and no further
+    trial: Positive = 2_000_000  # how long one lasts
+    settled: Positive = 60_000_000  # after which an outage is a new one and no relapse
+    out_most: Annotated[int, Meta(ge=0)] = 0  # zones that are out at once; 0: half of those listed
+
+    def __post_init__(self) -> None:
+        if read_place(self.listen) is None:
+            raise ValueError(f"listen: {self.listen!r} is no host:port")
+        if self.address and read_place(self.address) is None:
+            raise ValueError(f"address: {self.address!r} is no host:port")
+        if self.last_trial < self.first_trial:
+            raise ValueError("last_trial is under first_trial")
+        seen: dict[str, None] = {}
+        for text in self.peers:
+            match = PEER.fullmatch(text)
+            if match is None or read_place(match.group(2)) is None:
+                raise ValueError(f"peers: {text!r} is no name@host:port")
+            if match.group(1) in seen:
+                raise ValueError(f"peers: {match.group(1)!r} is given twice")
+            seen[match.group(1)] = None
+
+    def places(self) -> dict[str, tuple[str, int]]:
+        """Where the named peers are reached."""
+        found = {}
+        for text in self.peers:
+            name, _, place = text.partition("@")
+            found[name] = read_place(place) or ("", 0)
+        return found
+
+
 class Observe(Strict, frozen=True):
     """Numbers and spans, both off by default. ``metrics_port``: where ``/metrics`` is served, on
     loopback; ``spans``: a file that gets spans as JSON Lines, of this share of the messages."""
@@ -211,6 +264,7 @@
     over_share_worth: Share = 0.2
     max_wait: Micros = 3_000_000
     observe: Observe = Observe()
+    fleet: Fleet | None = None
     stop_grace: Positive = 30_000_000
     seed: Annotated[int, Meta(ge=0)] = 0
 
@@ -224,6 +278,8 @@
             raise ValueError("accounts: passwords are taken inside TLS only, and tls is missing")
         if any(item.require != "none" for item in self.listen) and self.tls is None:
             raise ValueError("listen: what it requires needs tls")
+        if self.fleet is not None and not any(name != self.name for name in self.fleet.places()):
+            raise ValueError("fleet: peers name no other forwarder")
         try:
             Territory(self.reach, self.refused)
             Identity(self.allow, [KnownClient(c.name, c.networks) for c in self.clients])
--- a/honeybarrow/config/script.py
+++ b/honeybarrow/config/script.py
@@ -41,6 +41,7 @@
     "pool": schema.Pool,
     "register": schema.Register,
     "observe": schema.Observe,
+    "fleet": schema.Fleet,
     "rules": schema.Rules,
     "forwarder": schema.Forwarder,
 }
--- /dev/null
+++ b/honeybarrow/fleet/agent.py
@@ -0,0 +1,311 @@
+"""One forwarder's part in its fleet: membership, evidence, verdicts, the view of the list, and the sockets.
+
+Carries out what the parts decide, and wakes them. The service hands it the register's news and what its calls
+met; it hands back news of the list for the module. Clock, reactor, chance and files are handed in.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from honeybarrow import interface as hb
+from honeybarrow.fleet import membership as swim
+from honeybarrow.fleet import zones as verdicts
+from honeybarrow.fleet.evidence import Measures, Witness
+from honeybarrow.fleet.transport import Place, Transport
+from honeybarrow.fleet.view import View
+from honeybarrow.fleet.wire import Answer, Ask, Message, SetHold, Whole
+from honeybarrow.seams import Logger, Reactor
+
+SECOND = 1_000_000
+JOIN_US = SECOND  # after its start a member waits so long to hear what the fleet has left
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What the settings say of the fleet. ``places``: where named peers are reached."""
+
+    fleet: str
+    name: str
+    zone: str
+    listen: Place
+    address: str
+    places: dict[str, Place]
+    swim: swim.Rules
+    verdicts: verdicts.Rules
+    weighted: bool = True
+
+
+class Agent:
+    """``show`` gets news of the list; ``load`` and ``save`` keep the verdicts between lives."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        life: int,
+        reactor: Reactor,
+        now_us: Callable[[], int],
+        rng: random.Random,
+        show: Callable[[hb.MembershipNews], None],
+        load: Callable[[], bytes | None],
+        save: Callable[[bytes], None],
+        log: Logger,
+        measures: Measures | None = None,
+    ) -> None:
+        self.plan, self.reactor, self.now_us, self.show = plan, reactor, now_us, show
+        self.load, self.save, self.log = load, save, log
+        peers = [name for name in plan.places if name != plan.name]
+        self.members = swim.Membership(plan.name, plan.zone, plan.address, life, peers, rng, plan.swim)
+        self.witness = Witness(measures)
+        self.zones = verdicts.Zones(self.members, self.witness, rng, plan.verdicts, plan.weighted)
+        self.view = View()
+        self.transport = Transport(
+            reactor,
+            plan.listen,
+            plan.fleet,
+            plan.name,
+            lambda: self.members.me.life,
+            {name: place for name, place in plan.places.items() if name != plan.name},
+            self._known,
+            self._heard,
+            self._swap,
+            self._asked,
+            log,
+        )
+        self.place: Place | None = None
+        self._calls: dict[tuple[str, int], None] = {}
+        self._timer: Any = None
+        self._started_us = 0
+        self._ready = False
+        self._digest = 0
+        self._stopped = False
+
+    # from the service
+
+    def start(self) -> Place:
+        """Listen and join. Raises ``CannotListenError``."""
+        self.place = self.transport.start()
+        if not self.plan.address:
+            me = self.members.me
+            self.members.me = msgspec.structs.replace(me, address="{}:{}".format(*self.place))
+        now = self._started_us = self.now_us()
+        saved = self._read_saved()
+        self._swim(self.members.start(now))
+        self._verdicts(self.zones.start(now, saved))
+        self.reactor.callLater(JOIN_US / SECOND, self._check_ready)
+        self._wake_later()
+        return self.place
+
+    def stop(self) -> None:
+        """Say goodbye; take and send nothing more."""
+        if self._stopped or self.place is None:
+            return
+        self._swim(self.members.leave())
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self.transport.stop()
+
+    def news(self, news: hb.MembershipNews) -> hb.MembershipNews:
+        """An item of the register's news, as the module shall see it."""
+        shown = self.view.news(news, self._shown)
+        if news.kind is not hb.ListKind.FAILED:
+            self.zones.listed(self.view.endpoints())
+            if self.plan.zone and self.view.listed and self.plan.zone not in self.zones.paths:
+                self.log.warning(
+                    "the register lists no endpoint in the zone of this forwarder", zone=self.plan.zone
+                )
+        return shown
+
+    def began(self, message: str, attempt: int, target: str) -> None:
+        """A call goes out."""
+        entry = self.view.listed.get(target)
+        if entry is not None and entry.zone:
+            self.witness.began(self.now_us(), (message, attempt), entry.zone, entry.destination)
+            self._look_again()
+
+    def ended(self, message: str, attempt: int, status: hb.Status) -> None:
+        """It has its outcome."""
+        self.witness.ended(self.now_us(), (message, attempt), status)
+        self._look_again()
+
+    def _look_again(self) -> None:
+        if self.zones.tries and not self._stopped:
+            self._show()
+
+    # what the parts want done
+
+    def _swim(self, actions: Sequence[swim.Action]) -> None:
+        for action in actions:
+            match action:
+                case swim.Say(to, message):
+                    self.transport.send(to, message)
+                case swim.Swap(to):
+                    self.transport.swap_with(to, self._whole(), self._swapped)
+                case swim.Changed(word, before):
+                    self._changed(word, before)
+                case swim.Replaced(life):
+                    self.log.error("another process has this forwarder's name in the fleet", life=life)
+
+    def _changed(self, word: swim.Word, before: swim.Word | None) -> None:
+        was = before.state.name.lower() if before else ""
+        tell = self.log.warning if word.state is swim.State.DEAD else self.log.info
+        tell(
+            f"member {word.state.name.lower()}",
+            member=word.name,
+            zone=word.zone,
+            life=word.life,
+            was=was,
+            **({"by": word.by} if word.by else {}),
+        )
+
+    def _verdicts(self, actions: Sequence[verdicts.Action]) -> None:
+        show = False
+        for action in actions:
+            match action:
+                case verdicts.Say(to, message):
+                    self.transport.send(to, message)
+                case verdicts.Note(what, path, fields):
+                    self.log.info(what, zone=path, **dict(fields))
+                case verdicts.Show():
+                    show = True
+        if show:
+            self._show()
+
+    def _show(self) -> None:
+        news = self.view.changed(self._shown) if self._ready else None
+        if news is not None:
+            left = sum(entry.state is not hb.EndpointState.READY for entry in news.endpoints)
+            self.log.info("list shown anew", left=left, endpoints=len(news.endpoints))
+            self.show(news)
+        if (digest := self.zones.digest()) != self._digest:
+            self._digest = digest
+            self.save(msgspec.json.encode(self.zones.told(self.now_us())))
+
+    def _shown(self, zone: str, destination: int) -> verdicts.Shown:
+        return self.zones.shown(self.now_us(), zone, destination)
+
+    def _check_ready(self) -> None:
+        if not self._stopped and not self._ready:
+            self._ready = True
+            self._show()
+
+    def _read_saved(self) -> verdicts.Told | None:
+        data = self.load()
+        if data is None:
+            return None
+        try:
+            return msgspec.json.decode(data, type=verdicts.Told)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.log.warning("the saved verdicts can't be taken", why=str(error))
+            return None
+
+    # from the sockets
+
+    def _known(self, name: str) -> tuple[int, str] | None:
+        member = self.members.members.get(name)
+        return (member.word.life, member.word.address) if member else None
+
+    def _heard(self, sender: str, message: Message) -> None:
+        now = self.now_us()
+        if isinstance(message, swim.Ping | swim.Ack | swim.PingFor | swim.Nack):
+            self._swim(self.members.received(now, sender, message))
+        else:
+            self._verdicts(self.zones.received(now, sender, message))
+        self._wake_later()
+
+    def _whole(self) -> Whole:
+        return Whole(self.members.words(), self.zones.told(self.now_us()))
+
+    def _swap(self, theirs: Whole) -> Whole:
+        mine = self._whole()
+        self._swapped(theirs)
+        return mine
+
+    def _swapped(self, theirs: Whole) -> None:
+        now = self.now_us()
+        self._swim(self.members.swapped(now, theirs.words))
+        self._verdicts(self.zones.take(now, theirs.told))
+        self._check_ready()
+        self._wake_later()
+
+    # time
+
+    def _wake_later(self) -> None:
+        if self._stopped:
+            return
+        due = min(self.members.due_us, self.zones.due_us)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = self.reactor.callLater(max(0, due - self.now_us()) / SECOND, self._wake)
+
+    def _wake(self) -> None:
+        now = self.now_us()
+        self._swim(self.members.wake(now))
+        self._verdicts(self.zones.wake(now))
+        self._wake_later()
+
+    # people
+
+    def _asked(self, question: Ask | SetHold) -> Answer:
+        now = self.now_us()
+        if isinstance(question, SetHold):
+            try:
+                self._verdicts(self.zones.hold(now, question.path, question.out, question.for_us))
+            except ValueError as error:
+                return Answer(error=str(error))
+            return Answer(text=msgspec.json.encode(self.zones_now()).decode())
+        rows = self.members_now() if question.what == "members" else self.zones_now()
+        return Answer(text=msgspec.json.encode(rows).decode())
+
+    def members_now(self) -> list[dict[str, Any]]:
+        """Who belongs to the fleet, as this member knows."""
+        rows = [(self.members.me, self._started_us)]
+        rows += [(each.word, each.since_us) for each in self.members.members.values()]
+        now = self.now_us()
+        return [
+            {
+                "name": word.name,
+                "zone": word.zone,
+                "state": word.state.name.lower(),
+                "since_s": round((now - since) / SECOND, 1),
+                "life": word.life,
+                "address": word.address,
+            }
+            for word, since in sorted(rows, key=lambda row: row[0].name)
+        ]
+
+    def zones_now(self) -> list[dict[str, Any]]:
+        """How the zones stand, as this member knows."""
+        now = self.now_us()
+        keys = dict.fromkeys([*((path, "") for path in self.zones.paths), *self.zones.courses])
+        rows = []
+        for path, group in sorted(keys):
+            course = self.zones.courses.get((path, group))
+            held = self.zones.held_by_person(now, path)
+            verdict = course.verdict if course else None
+            said = "" if held is None else "out" if held.out else "in"
+            rows.append(
+                {
+                    "zone": path,
+                    "members_of": group,
+                    "stand": self.zones.stand(now, path, group).value,
+                    "held": said,
+                    "held_by": held.by if held else "",
+                    "held_for_s": round((self.zones.held[path][1] - now) / SECOND) if held else 0,
+                    "number": verdict.number if verdict else 0,
+                    "since_s": round((now - course.since_us) / SECOND, 1) if course else None,
+                    "good": verdict.good if verdict else 0,
+                    "lost": verdict.lost if verdict else 0,
+                    "votes": verdict.votes if verdict else 0,
+                    "known": verdict.known if verdict else len(self.members.known()),
+                    "relapses": verdict.relapses if verdict else 0,
+                    "in_part": len(verdict.parts) if verdict else 0,
+                }
+            )
+        return rows
--- a/honeybarrow/fleet/evidence.py
+++ b/honeybarrow/fleet/evidence.py
@@ -10,13 +10,20 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Annotated
 
+import msgspec
+from msgspec import Meta
+
+from honeybarrow.fleet.membership import Number, Path
 from honeybarrow.interface import Status
 
 SECOND = 1_000_000
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]  # of calls, in one window of one member
 
 
 class Seen(enum.Enum):
@@ -40,16 +47,15 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Cell:
+class Cell(msgspec.Struct, frozen=True, array_like=True):
     """Calls of one member to one destination in one zone, sent ``age`` spans ago: how they ended."""
 
-    age: int
-    zone: str
-    destination: int
-    good: int
-    lost: int
-    out: int = 0
+    age: Annotated[int, Meta(ge=0, le=1000)]
+    zone: Path
+    destination: Number
+    good: Count
+    lost: Count
+    out: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,9 +64,13 @@
 
     span_us: int = 250_000  # of one cell
     spans: int = 12  # of a window
-    lost_least: int = 4  # losses, all members together
+    lost_least: int = 5  # losses, all members together
+    lost_way: int = 8  # losses of the members of one zone, for a way: few see it, and chance more often
+    lost_each: int = 2  # that count of one destination, and have to: a partner that is down is no zone
     lost_share: float = 0.6  # of the calls that are decided, or out among them
     destinations_least: int = 2  # that fail, where the zone has so many
+    destinations_listed: float = 0.5  # of those that are listed there have to fail
+    destinations_enough: int = 5  # but so many do
     destinations_share: float = 0.66  # that fail, of those with evidence
     origins_least: int = 2  # members that lost calls
     cells_most: int = 64  # told in one report
@@ -288,20 +298,19 @@
         return found
 
 
-def judge(pool: Pool, listed: int, origins_known: int) -> Judged:
+def judge(pool: Pool, listed: int, origins_known: int, way: bool = False) -> Judged:
     """Whether a zone fails: whether there is a time since when most calls were lost, to most destinations.
 
     Other zones must have served since: else there is nowhere to go.
 
-    ``listed``: destinations that have endpoints there; ``origins_known``: members that could have seen it.
-    Calls sent later than the last loss and still out are not counted; later good ones speak against.
+    ``way``: only members of one zone are asked about. ``listed``: destinations that have endpoints there;
+    ``origins_known``: members that could have seen it. Calls sent later than the last loss and still out are
+    not counted; later good ones speak against.
     """
     m = pool.measures
     losers = sum(lost > 0 for _, lost in pool.origins.values())
     if losers < min(m.origins_least, origins_known):
         return Judged(False)
-    if sum(lost for _, lost in pool.origins.values()) < m.lost_least:
-        return Judged(False)
     if pool.serves_again():
         return Judged(False)
     # Per destination, all its zones under the path together: sums over the youngest 0, 1, 2... spans.
@@ -314,7 +323,7 @@
             into[age] = [one + more for one, more in zip(into[age], total, strict=True)]
     for start in range(m.spans):
         for end in range(start + 1):
-            found = _interval(sums, start, end, listed, m)
+            found = _interval(sums, start, end, listed, m, m.lost_way if way else m.lost_least)
             if found is not None:
                 # Danger: where all zones fail there is nowhere to go, and each would be left for the next. A
                 # longer time would only bring in what others served before.
@@ -323,11 +332,13 @@
 
 
 def _interval(
-    sums: Mapping[int, Sequence[Sequence[int]]], start: int, end: int, listed: int, m: Measures
+    sums: Mapping[int, Sequence[Sequence[int]]], start: int, end: int, listed: int, m: Measures, least: int
 ) -> Judged | None:
     """Calls sent from ``start`` spans ago till ``end`` spans ago, good ones also after."""
-    lost_all = sum(ages[start + 1][1] - ages[end][1] for ages in sums.values())
-    if lost_all < m.lost_least:
+    each = [ages[start + 1][1] - ages[end][1] for ages in sums.values()]
+    lost_all = sum(each)
+    # Danger: with few calls, one partner that is down and a loss or two by chance elsewhere look like a zone.
+    if sum(min(lost, m.lost_each) for lost in each) < min(least, m.lost_each * max(1, listed)):
         return None
     good_all = out_all = with_evidence = 0
     bad = []
@@ -337,10 +348,12 @@
         good_all, out_all = good_all + good, out_all + out
         if good or lost:
             with_evidence += 1
-            if lost >= m.lost_share * (good + lost + out):
+            if lost >= max(m.lost_each, m.lost_share * (good + lost + out)):
                 bad.append(destination)
     if lost_all < m.lost_share * (good_all + lost_all + out_all):
         return None
-    if len(bad) < min(m.destinations_least, listed) or len(bad) < m.destinations_share * with_evidence:
+    half = min(m.destinations_enough, math.ceil(m.destinations_listed * listed))
+    need = min(listed, max(m.destinations_least, half))
+    if len(bad) < need or len(bad) < m.destinations_share * with_evidence:
         return None
     return Judged(True, start, good_all, lost_all, tuple(bad))
--- a/honeybarrow/fleet/membership.py
+++ b/honeybarrow/fleet/membership.py
@@ -19,7 +19,12 @@
 import math
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+from msgspec.structs import replace
 
 SECOND = 1_000_000
 NEVER = 1 << 62
@@ -34,17 +39,22 @@
     LEFT = 3  # said by the member itself, and final for its life
 
 
-@dataclass(frozen=True, slots=True)
-class Word:
+# What comes from the wire is bounded as it is read: names, numbers and how many of each.
+Name = Annotated[str, Meta(max_length=64)]
+Path = Annotated[str, Meta(max_length=128)]
+Number = Annotated[int, Meta(ge=0, le=1 << 62)]
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True):
     """What is said of one member. ``by``: who suspects it, where it is suspected."""
 
-    name: str
+    name: Name
     state: State
-    life: int
-    count: int
-    zone: str = ""
-    address: str = ""
-    by: str = ""
+    life: Number
+    count: Number
+    zone: Path = ""
+    address: Annotated[str, Meta(max_length=80)] = ""
+    by: Name = ""
 
     def beats(self, other: Word) -> bool:
         """Whether this replaces the other: a later life, then leaving, then count, then the graver state."""
@@ -59,40 +69,38 @@
         return self.state in (State.ALIVE, State.SUSPECT)
 
 
+Words = Annotated[tuple[Word, ...], Meta(max_length=64)]
+
 # --- messages: each also carries words -------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Do you live?"""
 
-    number: int
-    words: tuple[Word, ...] = ()
+    number: Number
+    words: Words = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """I do; or, ``of`` named, that member does."""
 
-    number: int
-    words: tuple[Word, ...] = ()
+    number: Number
+    words: Words = ()
 
 
-@dataclass(frozen=True, slots=True)
-class PingFor:
+class PingFor(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """Ask this member for me, and tell me also if you hear nothing."""
 
-    number: int
-    target: str
-    words: tuple[Word, ...] = ()
+    number: Number
+    target: Name
+    words: Words = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Nack:
+class Nack(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """I have asked for you and heard nothing yet; but I live."""
 
-    number: int
-    words: tuple[Word, ...] = ()
+    number: Number
+    words: Words = ()
 
 
 Message = Ping | Ack | PingFor | Nack
--- a/honeybarrow/fleet/zones.py
+++ b/honeybarrow/fleet/zones.py
@@ -19,17 +19,22 @@
 import enum
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from typing import Annotated
 
+import msgspec
 import xxhash
+from msgspec import Meta
+from msgspec.structs import replace
 
 from honeybarrow import interface as hb
 from honeybarrow.fleet.evidence import Cell, Judged, Measures, Pool, Witness, judge, paths_of, within
-from honeybarrow.fleet.membership import Membership
+from honeybarrow.fleet.membership import Membership, Name, Number, Path
 
 SECOND = 1_000_000
 NEVER = 1 << 62
 KEPT_AGAIN_US = 10 * SECOND
+AGE_MOST_US = 24 * 3600 * SECOND  # told of a verdict; its trials are reckoned up from there
 
 
 class Stand(enum.Enum):
@@ -47,10 +52,13 @@
 
     USED = "used"
     LEFT = "left"
+    TRIED = "tried"  # and nothing else for this destination: a call goes where it always went, if it may
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
+Pairs = Annotated[tuple[tuple[Number, Number], ...], Meta(max_length=64)]
+
+
+class Verdict(msgspec.Struct, frozen=True, array_like=True):
     """What the fleet has decided on a zone or region.
 
     ``group``: empty for all members, or the zone whose members it concerns. ``spares``: zones whose members
@@ -58,18 +66,18 @@
     bear the load. ``good``, ``lost``, ``votes`` and ``known`` tell what it rests on.
     """
 
-    path: str
-    group: str
-    number: int
-    by: str
-    life: int
-    relapses: int = 0
-    spares: tuple[str, ...] = ()
-    parts: tuple[tuple[int, int], ...] = ()
-    good: int = 0
-    lost: int = 0
-    votes: int = 0
-    known: int = 0
+    path: Path
+    group: Path
+    number: Number
+    by: Name
+    life: Number
+    relapses: Number = 0
+    spares: Annotated[tuple[Path, ...], Meta(max_length=64)] = ()
+    parts: Pairs = ()
+    good: Number = 0
+    lost: Number = 0
+    votes: Number = 0
+    known: Number = 0
 
     @property
     def out(self) -> bool:
@@ -80,14 +88,13 @@
         return self.number, self.by, self.life
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(msgspec.Struct, frozen=True, array_like=True):
     """A person's word on a zone, before all verdicts till its time is over. ``out`` ``None``: withdrawn."""
 
-    path: str
+    path: Path
     out: bool | None
-    number: int
-    by: str
+    number: Number
+    by: Name
 
     @property
     def rank(self) -> tuple[int, str]:
@@ -97,38 +104,34 @@
 # --- messages --------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """What a member saw of a zone. ``number``: of its reports in this life. ``question``: what it answers."""
 
-    path: str
-    life: int
-    number: int
-    cells: tuple[Cell, ...] = ()
-    loads: tuple[tuple[int, int], ...] = ()  # calls by destination, all zones
-    elsewhere: tuple[tuple[int, int], ...] = ()  # good and lost in other zones, by spans ago
-    question: int = 0
-    holds: int = 0  # the number of the verdict for all that it holds
+    path: Path
+    life: Number
+    number: Number
+    cells: Annotated[tuple[Cell, ...], Meta(max_length=256)] = ()
+    loads: Pairs = ()  # calls by destination, all zones
+    elsewhere: Pairs = ()  # good and lost in other zones, by spans ago
+    question: Number = 0
+    holds: Number = 0  # the number of the verdict for all that it holds
 
 
-@dataclass(frozen=True, slots=True)
-class Question:
+class Question(msgspec.Struct, frozen=True, array_like=True, tag=12):
     """What did you see of it?"""
 
-    path: str
-    number: int
+    path: Path
+    number: Number
 
 
-@dataclass(frozen=True, slots=True)
-class Told:
+class Told(msgspec.Struct, frozen=True, array_like=True, tag=13):
     """Verdicts with their ages, and holds with the times that they have left."""
 
-    verdicts: tuple[tuple[Verdict, int], ...] = ()
-    holds: tuple[tuple[Hold, int], ...] = ()
+    verdicts: Annotated[tuple[tuple[Verdict, Number], ...], Meta(max_length=64)] = ()
+    holds: Annotated[tuple[tuple[Hold, Number], ...], Meta(max_length=64)] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Digest:
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=14):
     """A hash over all verdicts and holds: whoever has others tells them, and asks so in turn."""
 
     value: int
@@ -181,8 +184,8 @@
     trial_most_us: int = 60 * SECOND
     trial_us: int = 2 * SECOND
     triers: int = 2
-    triers_most: int = 8  # each trial that tells nothing has one more
-    trial_destinations: int = 4  # that one member tries
+    triers_most: int = 8  # every second trial has one more, lest too few have a message for it
+    trial_calls: int = 3  # of one member in one trial, the first served; one that is lost ends it
     trial_good: int = 3  # served calls, of all triers
     trial_share: float = 0.8  # of their calls
     start_capacity: float = 0.2  # of a cold destination
@@ -200,7 +203,7 @@
             raise ValueError("start_capacity, margin and room are shares above 0")
         if self.trial_factor < 1.0 or self.trial_first_us < 1:
             raise ValueError("the waits between trials must not shrink")
-        for name in ("tick_us", "counters", "triers", "trial_destinations", "trial_good", "words_most"):
+        for name in ("tick_us", "counters", "triers", "trial_calls", "trial_good", "words_most"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name} must be at least 1")
 
@@ -416,8 +419,10 @@
         some = [
             self.courses[path, group] for path in paths for group in mine if (path, group) in self.courses
         ]
-        left = any(self._leaves(now, course, destination) for course in some)
-        return Shown.LEFT if left and zone not in self._too_many() else Shown.USED
+        found = {self._leaves(now, course, destination): None for course in some}
+        if Shown.LEFT in found:
+            return Shown.USED if zone in self._too_many() else Shown.LEFT
+        return Shown.TRIED if Shown.TRIED in found else Shown.USED
 
     def _too_many(self) -> list[str]:
         """Zones beyond the bound on how many this member leaves: those last by name, alike for all."""
@@ -467,17 +472,34 @@
 
     # --- leaving and coming back
 
-    def _leaves(self, now: int, course: Course, destination: int) -> bool:
+    def _leaves(self, now: int, course: Course, destination: int) -> Shown:
         verdict, me = course.verdict, self.members.me
         if not verdict.out:
             rank = share("back", verdict.path, verdict.group, verdict.number, me.name)
-            return now < course.since_us + returns_us(rank, self.rules)
+            return Shown.LEFT if now < course.since_us + returns_us(rank, self.rules) else Shown.USED
         if any(within(me.zone, spared) for spared in verdict.spares):
-            return False
+            return Shown.USED
         for number, part in verdict.parts:
             if number == destination:
-                return int(1000 * share("part", verdict.path, me.name)) < part
-        return not (self._tries(now, course) and destination in self._tried(course))
+                stays = int(1000 * share("part", verdict.path, me.name)) >= part
+                return Shown.USED if stays else Shown.LEFT
+        return Shown.TRIED if self._tries(now, course) and self._may_try(now, course) else Shown.LEFT
+
+    def _may_try(self, now: int, course: Course) -> bool:
+        """Whether this member may send one more call into a zone that it tries."""
+        # Danger: while it tries, this member has no other way to the destinations there, and a call that is
+        # lost may end a message. So one call first, whichever comes; a few once that was served; none after a
+        # loss.
+        since = (now - course.from_us) // self.measures.span_us
+        seen = [cell for cell in self.witness.cells(now, course.verdict.path) if cell.age <= since]
+        good, out = sum(cell.good for cell in seen), sum(cell.out for cell in seen)
+        most = self.rules.trial_calls if good else 1
+        return not any(cell.lost for cell in seen) and good + out < most
+
+    @property
+    def tries(self) -> bool:
+        """Whether this member may be trying a zone now: its next call may end that."""
+        return bool(self._trial_told)
 
     def _tries(self, now: int, course: Course) -> bool:
         """Whether this member tries the zone now."""
@@ -486,7 +508,7 @@
 
     def _triers(self, course: Course) -> list[str]:
         verdict = course.verdict
-        count = min(self.rules.triers_most, self.rules.triers + course.trial)
+        count = min(self.rules.triers_most, self.rules.triers + course.trial // 2)
         names = [
             word.name
             for word in self.members.living()
@@ -496,14 +518,6 @@
             names = [w.name for w in self.members.living() if self._concerns(verdict, w.zone)]
         return rendezvous(names, count, "trier", verdict.path, verdict.number, course.trial)
 
-    def _tried(self, course: Course) -> list[int]:
-        """The destinations that this member tries there."""
-        found = [
-            str(number) for number, row in self._listed.items() if self._in_path(row, course.verdict.path)
-        ]
-        salt = (self.members.me.name, course.verdict.path, course.verdict.number, course.trial)
-        return [int(each) for each in rendezvous(found, self.rules.trial_destinations, *salt)]
-
     @staticmethod
     def _concerns(verdict: Verdict, zone: str) -> bool:
         spared = any(within(zone, each) for each in verdict.spares)
@@ -666,7 +680,7 @@
         for zone, some in sorted(outside.items()):
             if not zone or self._is_out(path, zone) or len(self._known(zone)) < 2:
                 continue
-            judged = self._fails(now, path, some)
+            judged = self._fails(now, path, some, way=True)
             others = [each for other, each in groups.items() if other != zone]
             if judged.fails and any(self._serves(now, path, each, judged.since) for each in others):
                 return self._leave(now, path, zone, some, judged, ())
@@ -748,10 +762,12 @@
         enough = tried >= min(2, len(self._triers(course)))
         return enough and good >= self.rules.trial_good and good >= self.rules.trial_share * (good + lost)
 
-    def _fails(self, now: int, path: str, reports: dict[str, tuple[int, Report]]) -> Judged:
+    def _fails(
+        self, now: int, path: str, reports: dict[str, tuple[int, Report]], way: bool = False
+    ) -> Judged:
         """Whether a zone fails by these reports; a region, only if each zone in it that was called does."""
         pool = self._pool(now, path, reports)
-        judged = judge(pool, len(self._destinations(path)), len(reports))
+        judged = judge(pool, len(self._destinations(path)), len(reports), way)
         if judged.fails and path not in self._leaves_listed:
             zones = pool.zones()
             failing = [
@@ -835,7 +851,7 @@
             self._say(now, sender, self.told(now))
 
     def _apply(self, now: int, verdict: Verdict, age: int) -> None:
-        course = Course(verdict, now - max(0, age))
+        course = Course(verdict, now - max(0, min(age, AGE_MOST_US)))
         self.courses[verdict.path, verdict.group] = course
         if verdict.out:
             course.advance(now, self.rules)
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -20,7 +20,17 @@
 from honeybarrow.decide import Sender
 from honeybarrow.forward.outcome import Outcome
 from honeybarrow.mail import Reply
-from honeybarrow.seams import Clock, Forgetful, Keeper, Logger, Nobody, Observer, Permit
+from honeybarrow.seams import (
+    CallWatch,
+    Clock,
+    Forgetful,
+    Keeper,
+    Logger,
+    Nobody,
+    Observer,
+    Permit,
+    Unwatched,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,7 +172,9 @@
         partner: Callable[[int], str] = str,
         keeper: Keeper | None = None,
         may_begin: Callable[[Submission], bool] = lambda submission: True,
+        watch: CallWatch | None = None,
     ) -> None:
+        self.watch: CallWatch = watch or Unwatched()
         self.observer: Observer = observer or Nobody()
         self.keeper: Keeper = keeper or Forgetful()
         self.may_begin = may_begin
@@ -374,6 +386,7 @@
         self._calls += 1
         self.counts.attempts += 1
         self.observer.attempt(action.message, number, action.target)
+        self.watch.began(action.message, number, action.target)
         self.log.debug(
             "attempt",
             message=action.message,
@@ -403,6 +416,7 @@
         took = max(0, self.now_us() - began)
         held.called_us += took
         self.observer.ended(message, number, name, took, outcome.why)
+        self.watch.ended(message, number, outcome.status)
         self.counts.outcomes[name] = self.counts.outcomes.get(name, 0) + 1
         self.log.debug(
             "attempt ended",
--- a/honeybarrow/lab/run.py
+++ b/honeybarrow/lab/run.py
@@ -9,7 +9,7 @@
 import hashlib
 import json
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -19,6 +19,7 @@
 from honeybarrow.config.schema import Forwarder
 from honeybarrow.lab.net import SECOND, Host, Link, World
 from honeybarrow.rehearsal import Logbook, Play, Rehearsal, Verdict
+from honeybarrow.rehearsal.links import CLEAR, Way
 from honeybarrow.service import Service
 
 LINK = Link()
@@ -101,6 +102,7 @@
         self.hosts: dict[str, Host] = {}
         self.services: dict[str, Service] = {}
         self.saved: dict[str, bytes] = {}  # the lists that they keep on disk
+        self.verdicts: dict[str, bytes] = {}
         self.lives: dict[str, int] = {}
         self.crashes: list[Exception] = []
 
@@ -108,7 +110,7 @@
         name = settings.name
         life = self.lives[name] = self.lives.get(name, 0) + 1
         host = self.hosts[name] = self.world.host(name)
-        settings = quiet(settings)
+        settings = direct(quiet(settings), self.day.forwarders)
         service = self.services[name] = Service(
             settings,
             host,
@@ -120,6 +122,7 @@
             lambda data: self.saved.__setitem__(name, data),
             Log(self.trace, name, self.day.log_level),
             self.crashes.append,
+            verdicts=(lambda: self.verdicts.get(name), lambda data: self.verdicts.__setitem__(name, data)),
         )
         service.start()
         return succeed(None)
@@ -132,6 +135,13 @@
         """A forwarder that gets no CPU."""
         self.hosts[name].stall(span_us)
 
+    def link(self, sender: str, to: str, way: Way) -> None:
+        """A link between two forwarders fails, or is whole again."""
+        if way == CLEAR:
+            self.world.ways.pop((sender, to), None)
+        else:
+            self.world.ways[sender, to] = way
+
     def stop_all(self) -> Deferred[None]:
         done: Deferred[None] = Deferred()
         stopping = DeferredList([service.stop() for service in self.services.values()])
@@ -198,6 +208,18 @@
     return msgspec.structs.replace(settings, observe=type(settings.observe)(), tls=None, accounts="", seed=0)
 
 
+def direct(settings: Forwarder, forwarders: Sequence[Forwarder]) -> Forwarder:
+    """Settings whose peers are reached without a relay: here links fail in the world itself."""
+    if settings.fleet is None:
+        return settings
+    listen = {each.name: each.fleet.listen for each in forwarders if each.fleet is not None}
+    named = settings.fleet.places()
+    peers = tuple(f"{name}@{listen[name]}" for name in named if name in listen)
+    return msgspec.structs.replace(
+        settings, fleet=msgspec.structs.replace(settings.fleet, peers=peers, saved="")
+    )
+
+
 def replace_seed(scenario: Rehearsal, seed: int) -> Rehearsal:
     return msgspec.structs.replace(scenario, seed=seed)
 
--- a/honeybarrow/rehearsal/schema.py
+++ b/honeybarrow/rehearsal/schema.py
@@ -9,6 +9,7 @@
 
 from honeybarrow.config import WORDS
 from honeybarrow.config.schema import Micros, Name, Port, Positive, Share, Strict
+from honeybarrow.fleet.evidence import paths_of
 
 
 class Spot(Strict, frozen=True):
@@ -119,7 +120,14 @@
     "kill",
     "stall",
     "burst",
+    "zone_down",
+    "zone_cut",
+    "link_cut",
+    "link_one_way",
+    "link_slow",
+    "link_lossy",
 ]
+LINK_KINDS = ("link_cut", "link_one_way", "link_slow", "link_lossy")
 
 
 class Trouble(Strict, frozen=True):
@@ -128,6 +136,13 @@
 
     A spot refuses connections, accepts them and says nothing (mute), says nothing after MAIL (hang), or
     takes messages and answers nothing (deaf).
+
+    ``zone_down``: all stations in the zone ``who`` fail, as spots do, by ``how``; for the forwarders of the
+    zone ``met_by`` alone, if given, and then always after MAIL. ``zone_cut``: stations there fail for the
+    forwarders elsewhere, those elsewhere for the forwarders there, and these are cut off from the others.
+    ``link_...``: the links between the forwarders that ``who`` names (by name or zone, with commas between)
+    and all others; one way is what they send; ``size`` is a delay in milliseconds (slow) or a share that is
+    lost (lossy).
     """
 
     kind: TroubleKind
@@ -136,6 +151,8 @@
     who: str = ""
     size: Annotated[float, Meta(ge=0.0)] = 1.0
     message_class: str = ""
+    how: Literal["refuse", "mute", "hang", "deaf"] = "mute"
+    met_by: str = ""
 
 
 class Rehearsal(Strict, frozen=True):
@@ -155,6 +172,7 @@
         stations = {s.target for p in self.partners for s in p.stations}
         spots = stations | {spot.name for p in self.partners for s in p.stations for spot in s.spots}
         clients = {client.name for client in self.clients}
+        zones = {zone for p in self.partners for s in p.stations for zone in paths_of(s.zone)}
         for client in self.clients:
             for part in client.parts:
                 if part.partner not in partners:
@@ -168,6 +186,8 @@
                 "register_down": {""},
                 "register_bad": {""},
                 "register_stale": {""},
+                **dict.fromkeys(("zone_down", "zone_cut"), zones),
+                **dict.fromkeys(LINK_KINDS),
                 "kill": None,
                 "stall": None,
             }.get(trouble.kind, partners)
--- a/honeybarrow/seams.py
+++ b/honeybarrow/seams.py
@@ -38,10 +38,12 @@
 
 
 class Reactor(Clock, Network, Protocol):
-    """Both, and Unix sockets to listen at."""
+    """Both, and Unix sockets and datagrams to listen at."""
 
     def listenUNIX(self, address: str, factory: Any) -> Any: ...
 
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> Any: ...
+
 
 class Permit(Protocol):
     """Leave to write a call that was decided before: asked again where its bytes are written.
@@ -99,6 +101,22 @@
     def turned_away(self, why: str) -> None: ...
 
 
+class CallWatch(Protocol):
+    """Told of each call that goes out and of its outcome, whatever becomes of its message."""
+
+    def began(self, message: str, attempt: int, target: str) -> None: ...
+
+    def ended(self, message: str, attempt: int, status: Status) -> None: ...
+
+
+class Unwatched:
+    """Watches no calls."""
+
+    def began(self, message: str, attempt: int, target: str) -> None: ...
+
+    def ended(self, message: str, attempt: int, status: Status) -> None: ...
+
+
 class Keeper(Protocol):
     """Keeps what was taken on beyond the process.
 
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -15,9 +15,12 @@
 from twisted.web.server import Site
 
 from honeybarrow import mail
-from honeybarrow.addresses import Addresses
+from honeybarrow.addresses import Addresses, read_place
 from honeybarrow.again import Again
 from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.fleet.agent import Agent, Plan
+from honeybarrow.fleet.membership import Rules as SwimRules
+from honeybarrow.fleet.zones import Rules as ZoneRules
 from honeybarrow.forward import Forwarder, Place, Pool, PoolLimits
 from honeybarrow.front import Desk, FrontFactory, FrontLimits, Mapper, Reception, Rules
 from honeybarrow.identity import Identity, KnownClient
@@ -63,6 +66,7 @@
         tls: Any = None,
         password: Callable[[str, bytes], Deferred[bool]] | None = None,
         spans: Observer | None = None,
+        verdicts: tuple[Callable[[], bytes | None], Callable[[bytes], None]] | None = None,
     ) -> None:
         self.settings, self.reactor, self.log = settings, reactor, log
         self.boot, self.date, self.now_us = boot, date, now_us
@@ -78,6 +82,7 @@
         self._places: dict[str, list[Place]] = {}  # where endpoints listen, looked up since the last news
         self._refused_places: dict[tuple[str, str], None] = {}
         self.directory = Directory()
+        self.agent = self._agent(seed, *(verdicts or (lambda: None, lambda data: None)))
         self.forwarder = Forwarder(
             settings.settings(),
             seed,
@@ -90,6 +95,7 @@
             crashed,
             self._observer(spans),
             self._partner,
+            watch=self.agent,
         )
         place = (settings.register.host, settings.register.port)
         timeout = settings.register.answer_timeout / 1e6
@@ -167,6 +173,9 @@
                 self.log.warning("the saved list can't be taken", why=str(error))
         for listen, factory in zip(self.settings.listen, self.fronts, strict=True):
             self.ports.append(self.reactor.listenTCP(listen.port, factory, interface=listen.host))
+        if self.agent is not None:
+            host, port = self.agent.start()
+            self.log.info("listening", fleet=self.agent.plan.fleet, host=host, port=port)
         if news is None:
             news = self.directory.apply(EMPTY, saved=True)
         self.news(news)
@@ -188,6 +197,8 @@
             if timer.active():
                 timer.cancel()
             self.register.stop()
+            if self.agent is not None:
+                self.agent.stop()
             self.pool.close_all()
             # the last answers are written in the next turn of the reactor
             self.reactor.callLater(0.05, lambda: None if done.called else done.callback(None))
@@ -200,6 +211,44 @@
         self.log.warning("the grace is over", open=self.forwarder.open)
         self.forwarder.abandon("shutting down")
 
+    def _agent(
+        self, seed: int, load: Callable[[], bytes | None], save: Callable[[bytes], None]
+    ) -> Agent | None:
+        settings, fleet = self.settings, self.settings.fleet
+        if fleet is None:
+            return None
+        rules = settings.rules
+        plan = Plan(
+            fleet.name,
+            settings.name,
+            fleet.zone or settings.zone,
+            read_place(fleet.listen) or ("", 0),
+            fleet.address,
+            fleet.places(),
+            SwimRules(period_us=fleet.period, answer_us=min(150_000, fleet.period // 3)),
+            ZoneRules(
+                trial_first_us=fleet.first_trial,
+                trial_most_us=fleet.last_trial,
+                trial_us=fleet.trial,
+                settled_us=fleet.settled,
+                out_most=fleet.out_most,
+                start_capacity=max(0.01, rules.start_capacity),
+                cold_us=rules.cold,
+            ),
+            settings.weights != "none",
+        )
+        return Agent(
+            plan,
+            int(self.boot, 16),
+            self.reactor,
+            self.now_us,
+            random.Random(f"fleet/{seed}"),
+            lambda news: self.forwarder.news(news),
+            load,
+            save,
+            self.log,
+        )
+
     def _observer(self, spans: Observer | None) -> Observer:
         self.metrics: Metrics | None = None
         if not self.settings.observe.metrics_port:
@@ -232,7 +281,7 @@
                     self.book.forget(place)
                     self.log.info("address gone", target=target, address=str(place))
             self.pool.listed({target: places})
-        self.forwarder.news(news)
+        self.forwarder.news(self.agent.news(news) if self.agent is not None else news)
 
     def _place(self, target: str) -> list[Place]:
         """Where an endpoint listens, less what its partner may not name."""
--- /dev/null
+++ b/tests/fleet_days.py
@@ -0,0 +1,104 @@
+"""Scripts of days with a fleet, for processes and for the laboratory, and what their logs tell."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+DAY = """
+classes = [
+    message_class("card-status", aim = "2s", deadline = "8s", late_share = 0.4),
+    message_class("txn-posting", aim = "2s", deadline = "8s", effect = "keyed", window = "4s"),
+]
+zones = ["a", "b", "c"]
+numbers = range(1, %(count)d + 1)
+names = ["f%%d" %% i for i in numbers]
+
+def make(i):
+    return forwarder(
+        "f%%d" %% i, classes = classes, kinds = [kind("chains")], zone = zones[i %% 3],
+        register = register(port = %(base)d),
+        listen = [listen("smtp", port = %(base)d + 10 + i)],
+        routing = routing(time_left_ms = "header:X-Time-Left-Ms"),
+        rules = rules(drain_grace = "500ms", cold = "2s", fall = "2s"),
+        fleet = fleet(
+            name = "day", listen = "127.0.0.1:%%d" %% (%(base)d + 20 + i),
+            peers = ["f%%d@127.0.0.1:%%d" %% (j, %(base)d + 30 + 10 * i + j) for j in numbers],
+            first_trial = "1s", trial = "1500ms", %(fleet)s
+        ),
+        slots = 24, max_open = 240, forwarders = %(count)d, max_wait = "3s", stop_grace = "15s",
+    )
+
+forwarders = [make(i) for i in numbers]
+
+def chain(n):
+    stations = [
+        station("p%%d-%%s" %% (n, zones[k]), port = %(base)d + 140 + 10 * n + k, zone = zones[k])
+        for k in range(3)
+    ]
+    return partner("p%%d.example" %% n, number = n, kind = "chains", stations = stations,
+                   service = "40ms", workers = 12)
+
+partners = [chain(n) for n in range(1, 5)]
+
+def to_all(name):
+    return [part(name, "p%%d.example" %% n) for n in range(1, 5)]
+
+clients = [
+    client("status", rate = %(rate)f, forwarders = names, parts = to_all("card-status")),
+    client("posting", rate = %(rate)f / 3, forwarders = names, parts = to_all("txn-posting")),
+]
+troubles = [%(troubles)s]
+day = rehearsal("day", length = "%(length)ds", partners = partners, settle = "15s",
+                register = stand_in_register(port = %(base)d), clients = clients, troubles = troubles)
+"""
+
+
+def script(base: int, troubles: str, length: int, count: int = 9, rate: float = 60.0, fleet: str = "") -> str:
+    """A day's script; ``base`` is the first of 300 ports."""
+    text = DAY % {
+        "base": base,
+        "troubles": troubles,
+        "length": length,
+        "count": count,
+        "rate": rate,
+        "fleet": fleet,
+    }
+    # a range stays in the script's own words
+    return text.replace(f"range(1, {count} + 1)", "[" + ", ".join(map(str, range(1, count + 1))) + "]")
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A line of a forwarder's log. ``at``: text of a time in processes, microseconds in the laboratory."""
+
+    at: Any
+    who: str
+    what: str
+    fields: dict[str, Any]
+
+
+def logs(folder: Path) -> list[Line]:
+    """The lines of all forwarders of a rehearsal, by time."""
+    found = []
+    for path in folder.glob("f*.log"):
+        for text in path.read_text(encoding="utf-8").splitlines():
+            row = json.loads(text)
+            found.append(Line(row["timestamp"], path.stem, row["event"], row))
+    return sorted(found, key=lambda line: (line.at, line.who))
+
+
+def verdicts(lines: list[Line], zone: str, group: str = "") -> dict[int, dict[str, Any]]:
+    """For each number of a verdict: who heard of it, and when first."""
+    found: dict[int, dict[str, Any]] = {}
+    for line in lines:
+        about = line.fields.get("zone"), line.fields.get("group")
+        if line.what in ("zone left", "zone returning") and about == (zone, group):
+            found.setdefault(line.fields["number"], {}).setdefault(line.who, line.at)
+    return found
+
+
+def zones_left(lines: list[Line]) -> list[str]:
+    return sorted({line.fields["zone"] for line in lines if line.what == "zone left"})
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -19,6 +19,7 @@
 from honeybarrow.config.schema import Forwarder as Settings
 from honeybarrow.forward import core
 from honeybarrow.rehearsal import SCENARIO_WORDS, Logbook, Play, Rehearsal, Verdict, report
+from honeybarrow.rehearsal.links import Way
 from honeybarrow.service import Service
 from tests.live import Quiet
 
@@ -194,6 +195,9 @@
     def kill(self, name: str) -> None:
         raise NotImplementedError("a process of its own is needed for that")
 
+    def link(self, sender: str, to: str, way: Way) -> None:
+        raise NotImplementedError("one forwarder has no links")
+
     def stop_all(self) -> Deferred[None]:
         assert self.service is not None
         return self.service.stop()
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,187 @@
+"""Fleets of processes of the program, with faults between them: judged by their logs, in their order."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.fleet_days import Line, logs, script, verdicts, zones_left
+
+ALL = {f"f{n}" for n in range(1, 10)}
+DAYS = {
+    # silent, over links that lose, with a member killed as the zone is out and another stalled
+    "silent": (
+        24000,
+        'trouble("link_lossy", at = "1s", last = "30s", who = "a", size = 0.1),'
+        'trouble("zone_down", at = "5s", last = "6s", who = "b"),'
+        'trouble("kill", at = "7s", last = "1s", who = "f4"),'
+        'trouble("stall", at = "8s", last = "3s", who = "f6"),',
+    ),
+    # refuses; and four of nine are cut off from the rest meanwhile
+    "split": (
+        24400,
+        'trouble("link_cut", at = "4s", last = "5s", who = "f1,f2,f3,f4"),'
+        'trouble("zone_down", at = "5s", last = "8s", who = "b", how = "refuse"),',
+    ),
+    # cut off with the forwarders in it, which hear nothing of the others nor they of them
+    "cut off": (24800, 'trouble("zone_cut", at = "5s", last = "6s", who = "b"),'),
+}
+
+
+@dataclass(slots=True)
+class Played:
+    status: int
+    report: str
+    lines: list[Line]
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Played]:
+    """The days, each with nine forwarders, side by side."""
+    folder = tmp_path_factory.mktemp("days")
+    running = {}
+    for name, (base, troubles) in DAYS.items():
+        file, keep = folder / f"{base}.star", folder / str(base)
+        file.write_text(script(base, troubles, 19, rate=45.0), encoding="utf-8")
+        command = [sys.executable, "-m", "honeybarrow", "rehearse", str(file), "--keep", str(keep)]
+        running[name] = (subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT), keep)
+    found = {}
+    for name, (process, keep) in running.items():
+        output, _ = process.communicate(timeout=150)
+        found[name] = Played(process.returncode, output.decode(), logs(keep))
+    return found
+
+
+@pytest.mark.parametrize("day", list(DAYS))
+def test_all_rules_hold(played: dict[str, Played], day: str) -> None:
+    assert played[day].status == 0, played[day].report
+
+
+def test_a_silent_zone_is_left_by_all_and_used_again(played: dict[str, Played]) -> None:
+    lines = played["silent"].lines
+    heard = verdicts(lines, "b")
+    assert zones_left(lines) == ["b"]
+    assert heard[1].keys() == heard[2].keys() == ALL, (
+        "also the one that was killed, and the one that was stalled"
+    )
+    assert max(heard) == 2
+    (by,) = {line.fields["by"] for line in lines if line.what == "zone left"}
+    first = min(line.at for line in lines if line.what == "zone left")
+    assert {line.who for line in lines if line.what == "zone left" and line.at == first} == {by}
+    last = {line.who: line.fields["left"] for line in lines if line.what == "list shown anew"}
+    assert set(last.values()) == {0}, "in the end each uses the zone"
+
+
+def test_a_minority_that_is_cut_off_hears_of_the_verdict_once_it_is_back(played: dict[str, Played]) -> None:
+    lines = played["split"].lines
+    few = {"f1", "f2", "f3", "f4"}
+    heard = verdicts(lines, "b")
+    assert heard[1].keys() == ALL
+    assert not {line.fields["by"] for line in lines if line.what == "zone left"} & few
+    assert max(heard[1][name] for name in ALL - few) < min(heard[1][name] for name in few)
+    assert zones_left(lines) == ["b"]
+
+
+def test_a_zone_that_is_cut_off_leaves_nothing_itself(played: dict[str, Played]) -> None:
+    lines = played["cut off"].lines
+    inside = {"f1", "f4", "f7"}
+    heard = verdicts(lines, "b")
+    assert zones_left(lines) == ["b"]
+    assert max(heard[1][name] for name in ALL - inside) < min(heard[1].get(name, "z") for name in inside)
+    alone = [line for line in lines if line.who in inside and line.what == "zone asked about"]
+    assert not [line for line in alone if line.fields["zone"] == "b"]
+
+
+# --- the command, on three forwarders
+
+
+class Three:
+    """Three forwarders and their partners, each a process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.file = folder / "three.star"
+        text = script(25200, "", 60, count=3)
+        # no relays here: each is reached where it listens
+        text = text.replace("(j, 25200 + 30 + 10 * i + j)", "(j, 25200 + 20 + j)")
+        self.file.write_text(text, encoding="utf-8")
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.spawn("stand-ins", "stand-ins", str(self.file))
+        for name in ("f1", "f2", "f3"):
+            self.forwarder(name)
+
+    def forwarder(self, name: str) -> None:
+        self.spawn(name, "run", str(self.file), "--name", name, "--log-format", "json")
+
+    def spawn(self, name: str, *arguments: str) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            command = [sys.executable, "-m", "honeybarrow", *arguments]
+            self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def ask(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        command = [sys.executable, "-m", "honeybarrow", "fleet", *arguments]
+        return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+
+    def rows(self, what: str, name: str) -> list[dict[str, Any]]:
+        done = self.ask(what, str(self.file), "--name", name, "--json")
+        rows: list[dict[str, Any]] = json.loads(done.stdout) if done.returncode == 0 else []
+        return rows
+
+    def until(self, what: str, name: str, wanted: Any, column: str, key: str) -> None:
+        """Wait till a table says so; only to end a test that hangs is there a limit."""
+        end = time.monotonic() + 60
+        seen: Any = None
+        while time.monotonic() < end:
+            seen = {row[key]: row[column] for row in self.rows(what, name)}
+            if seen == wanted:
+                return
+            time.sleep(0.2)
+        raise AssertionError(f"{seen} instead of {wanted}")
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def three(tmp_path: Path) -> Iterator[Three]:
+    fleet = Three(tmp_path)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def test_the_command_shows_the_fleet_and_gives_it_a_persons_word(three: Three) -> None:
+    alive = {"f1": "alive", "f2": "alive", "f3": "alive"}
+    for name in alive:
+        three.until("members", name, alive, "state", "name")
+    three.until("zones", "f1", {"a": "in use", "b": "in use", "c": "in use"}, "stand", "zone")
+    table = three.ask("hold", str(three.file), "b", "--out", "--for", "60s", "--name", "f1")
+    assert table.returncode == 0 and table.stdout.splitlines()[0].startswith("zone"), table
+    for name in alive:
+        three.until("zones", name, {"a": "", "b": "out", "c": ""}, "held", "zone")
+    wrong = three.ask("hold", str(three.file), "nowhere", "--out", "--name", "f1")
+    assert wrong.returncode == 2 and "no zone or region 'nowhere'" in wrong.stderr
+    # one dies, and starts again knowing the word; another says goodbye
+    three.processes["f2"].kill()
+    three.processes["f2"].wait()
+    three.until("members", "f1", alive | {"f2": "dead"}, "state", "name")
+    three.forwarder("f2")
+    three.until("zones", "f2", {"a": "", "b": "out", "c": ""}, "held", "zone")
+    three.until("members", "f3", alive, "state", "name")
+    three.processes["f3"].send_signal(signal.SIGTERM)
+    assert three.processes["f3"].wait(timeout=30) == 0
+    three.until("members", "f1", alive | {"f3": "left"}, "state", "name")
+    assert three.ask("hold", str(three.file), "b", "--withdraw", "--name", "f2").returncode == 0
+    three.until("zones", "f1", {"a": "", "b": "", "c": ""}, "held", "zone")
