--- a/honeybarrow/fleet/evidence.py
+++ b/honeybarrow/fleet/evidence.py
@@ -66,7 +66,9 @@
     spans: int = 12  # of a window
     lost_least: int = 5  # losses, all members together
     lost_way: int = 8  # losses of the members of one zone, for a way: few see it, and chance more often
-    lost_each: int = 2  # that count of one destination, and have to: a partner that is down is no zone
+    # That count of one destination: a partner that is down is no zone. With fewer at some, one more has to
+    # fail.
+    lost_each: int = 2
     lost_share: float = 0.6  # of the calls that are decided, or out among them
     destinations_least: int = 2  # that fail, where the zone has so many
     destinations_listed: float = 0.5  # of those that are listed there have to fail
@@ -340,7 +342,7 @@
     # Danger: with few calls, one partner that is down and a loss or two by chance elsewhere look like a zone.
     if sum(min(lost, m.lost_each) for lost in each) < min(least, m.lost_each * max(1, listed)):
         return None
-    good_all = out_all = with_evidence = 0
+    good_all = out_all = with_evidence = sure = 0
     bad = []
     for destination, ages in sums.items():
         good = ages[start + 1][0]
@@ -348,12 +350,15 @@
         good_all, out_all = good_all + good, out_all + out
         if good or lost:
             with_evidence += 1
-            if lost >= max(m.lost_each, m.lost_share * (good + lost + out)):
+            if lost and lost >= m.lost_share * (good + lost + out):
                 bad.append(destination)
+                sure += lost >= m.lost_each
     if lost_all < m.lost_share * (good_all + lost_all + out_all):
         return None
     half = min(m.destinations_enough, math.ceil(m.destinations_listed * listed))
     need = min(listed, max(m.destinations_least, half))
-    if len(bad) < need or len(bad) < m.destinations_share * with_evidence:
+    if sure < need and len(bad) < min(listed, need + 1):
+        return None
+    if len(bad) < m.destinations_share * with_evidence:
         return None
     return Judged(True, start, good_all, lost_all, tuple(bad))
--- a/honeybarrow/fleet/zones.py
+++ b/honeybarrow/fleet/zones.py
@@ -421,15 +421,17 @@
         ]
         found = {self._leaves(now, course, destination): None for course in some}
         if Shown.LEFT in found:
-            return Shown.USED if zone in self._too_many() else Shown.LEFT
+            return Shown.USED if zone in self._too_many(now) else Shown.LEFT
         return Shown.TRIED if Shown.TRIED in found else Shown.USED
 
-    def _too_many(self) -> list[str]:
-        """Zones beyond the bound on how many this member leaves: those last by name, alike for all."""
+    def _too_many(self, now: int) -> list[str]:
+        """Zones beyond the bound on how many this member leaves: those that return, and the last by name."""
         # Danger: two counters that did not hear of each other, or a fleet that was split, may leave more than
         # the bound together. Whoever holds all their verdicts keeps to it for itself.
-        out = [zone for zone in self._leaves_listed if self._any_out(zone, self.members.me.zone)]
-        return out[self._out_most :]
+        group = self.members.me.zone
+        away = [zone for zone in self._leaves_listed if self._away(now, zone, group)]
+        away.sort(key=lambda zone: not self._any_out(zone, group))
+        return away[self._out_most :]
 
     def stand(self, now: int, path: str, group: str = "") -> Stand:
         """How a zone stands, as this member knows."""
@@ -490,7 +492,7 @@
         # Danger: while it tries, this member has no other way to the destinations there, and a call that is
         # lost may end a message. So one call first, whichever comes; a few once that was served; none after a
         # loss.
-        since = (now - course.from_us) // self.measures.span_us
+        since = (now - course.from_us) // self.measures.span_us + 1  # it may have begun within a span
         seen = [cell for cell in self.witness.cells(now, course.verdict.path) if cell.age <= since]
         good, out = sum(cell.good for cell in seen), sum(cell.out for cell in seen)
         most = self.rules.trial_calls if good else 1
@@ -696,7 +698,8 @@
         spares: tuple[str, ...],
     ) -> bool:
         leaves = [zone for zone in self._leaves_listed if within(zone, path)]
-        out = [zone for zone in self._leaves_listed if self._any_out(zone, group)]
+        # Danger: members come back in turn, and to those whose turn has not come a zone is as far as before.
+        out = [zone for zone in self._leaves_listed if self._away(now, zone, group)]
         most = self._out_most
         if len(dict.fromkeys([*out, *leaves])) > most:
             # Danger: with one zone after another left, all load falls on the last.
@@ -926,6 +929,13 @@
         groups = ("", group) if group else ("",)
         return any(self._is_out(path, each) for path in paths_of(zone) for each in groups)
 
+    def _away(self, now: int, zone: str, group: str) -> bool:
+        """Whether a zone is out, or some have not come back to it yet."""
+        groups = ("", group) if group else ("",)
+        courses = [self.courses.get((path, each)) for path in paths_of(zone) for each in groups]
+        held = [course for course in courses if course is not None]
+        return any(c.verdict.out or now < c.since_us + self._returned_us() for c in held)
+
     def _destinations(self, path: str) -> list[int]:
         return [number for number, row in self._listed.items() if self._in_path(row, path)]
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Iterator
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -92,6 +93,9 @@
     tried = fleet.calls("b", left + SECOND // 10)
     by = {c.member for c in tried}
     assert 2 <= len(by) <= 12
+    for name in by:
+        mine = [call.sent_us for call in tried if call.member == name]
+        assert all(b - a > SECOND for a, b in pairwise(mine)), "a call that is lost ends a trial"
     assert len(tried) < 0.08 * len(fleet.calls("b", 5 * SECOND, AT)) * (50 - 17) / 10
 
 
