--- a/honeybarrow/cli/lab.py
+++ b/honeybarrow/cli/lab.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import click
@@ -11,7 +12,17 @@
 from honeybarrow import lab as laboratory
 from honeybarrow.lab import search as searching
 from honeybarrow.lab.explain import explain as explained
-from honeybarrow.rehearsal import report
+from honeybarrow.rehearsal import Rehearsal, report
+from honeybarrow.rehearsal.logbook import Entry
+from honeybarrow.rehearsal.plot import PlotError, plot
+
+
+def draw(entries: Sequence[Entry], scenario: Rehearsal, path: Path) -> None:
+    """A picture of the day; a complaint if there can be none."""
+    try:
+        plot(entries, scenario, path)
+    except PlotError as error:
+        click.echo(f"honeybarrow: {path}: {error}", err=True)
 
 
 def make(read_day: object) -> click.Group:
@@ -34,7 +45,8 @@
     @scenario_argument
     @seed_option
     @click.option("--quiet", is_flag=True, help="The verdict alone.")
-    def run(file: Path | None, seed: int | None, quiet: bool) -> None:
+    @click.option("--plot", "picture", type=click.Path(path_type=Path), help="Draw the day into this file.")
+    def run(file: Path | None, seed: int | None, quiet: bool, picture: Path | None) -> None:
         """Play a scenario and judge it; exit status 1 if a rule broke."""
         day = day_of(file, seed)
         result = laboratory.play(day, lambda text: None if quiet else click.echo(text, err=True))
@@ -43,6 +55,8 @@
             f"\n  worth {result.worth:.4f}; {result.simulated_s:.1f} s simulated in {result.took_s:.1f} s,"
             f" {result.events} events, trace {result.trace_hash[:16]} of {result.lines} lines"
         )
+        if picture is not None:
+            draw(result.entries, day.scenario, picture)
         sys.exit(0 if result.verdict.kept else 1)
 
     @group.command()
--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -19,6 +19,7 @@
 from twisted.internet.protocol import ClientFactory, ProcessProtocol, Protocol
 from twisted.python.failure import Failure
 
+from honeybarrow.cli.lab import draw
 from honeybarrow.config.schema import Forwarder
 from honeybarrow.rehearsal import Logbook, Play, Rehearsal, report
 from honeybarrow.rehearsal.links import Relays, Way
@@ -138,14 +139,19 @@
 
 
 def play(
-    file: Path, scenario: Rehearsal, forwarders: list[Forwarder], report_file: Path | None, keep: Path | None
+    file: Path,
+    scenario: Rehearsal,
+    forwarders: list[Forwarder],
+    report_file: Path | None,
+    keep: Path | None,
+    picture: Path | None = None,
 ) -> int:
     """Play a scenario and print its report; the exit status. ``keep``: a folder for the logs of all sides."""
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
-        return _play(file, scenario, forwarders, report_file, keep, True)
+        return _play(file, scenario, forwarders, report_file, keep, True, picture)
     with tempfile.TemporaryDirectory() as temporary:
-        return _play(file, scenario, forwarders, report_file, Path(temporary), False)
+        return _play(file, scenario, forwarders, report_file, Path(temporary), False, picture)
 
 
 def _play(
@@ -155,6 +161,7 @@
     report_file: Path | None,
     folder: Path,
     keep: bool,
+    picture: Path | None,
 ) -> int:
     status = 1
     began = time.monotonic()
@@ -174,6 +181,8 @@
         nonlocal status
         text = report(verdict, scenario.name, scenario.seed)
         click.echo(text)
+        if picture is not None:
+            draw(book.entries, scenario, picture)
         if report_file is not None:
             report_file.write_text(text + "\n", encoding="utf-8")
         if keep:
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -191,8 +191,14 @@
     "--report", type=click.Path(path_type=Path), default=None, help="Write the report to this file."
 )
 @click.option("--keep", type=click.Path(path_type=Path), default=None, help="Keep all logs in this folder.")
+@click.option("--plot", "picture", type=click.Path(path_type=Path), help="Draw the day into this file.")
 def rehearse(
-    file: Path | None, listing: bool, seed: int | None, report: Path | None, keep: Path | None
+    file: Path | None,
+    listing: bool,
+    seed: int | None,
+    report: Path | None,
+    keep: Path | None,
+    picture: Path | None,
 ) -> None:
     """Play a scenario against forwarder processes and judge it; the bad day if no FILE is named."""
     own = sorted(SCENARIOS.glob("*.star"))
@@ -206,7 +212,7 @@
         scenario = msgspec.structs.replace(scenario, seed=seed)
     from honeybarrow.cli.launch import play
 
-    sys.exit(play(path, scenario, forwarders, report, keep))
+    sys.exit(play(path, scenario, forwarders, report, keep, picture))
 
 
 @main.command()
--- a/honeybarrow/fleet/agent.py
+++ b/honeybarrow/fleet/agent.py
@@ -280,6 +280,24 @@
             for word, since in sorted(rows, key=lambda row: row[0].name)
         ]
 
+    def numbers(self) -> dict[str, Any]:
+        """Counts for a scrape."""
+        now, states = self.now_us(), dict.fromkeys((state.name.lower() for state in swim.State), 0)
+        for word in self.members.words():
+            states[word.state.name.lower()] += 1
+        keys = dict.fromkeys([*((path, "") for path in self.zones.paths), *self.zones.courses])
+        return {
+            "members": states,
+            "zones": [
+                (path, group, self.zones.stand(now, path, group).value) for path, group in sorted(keys)
+            ],
+            "kept": len(self.view.kept),
+            "sent": self.transport.sent,
+            "received": self.transport.received,
+            "octets_sent": self.transport.octets_sent,
+            "dropped": dict(self.transport.dropped),
+        }
+
     def zones_now(self) -> list[dict[str, Any]]:
         """How the zones stand, as this member knows."""
         now = self.now_us()
--- a/honeybarrow/lab/run.py
+++ b/honeybarrow/lab/run.py
@@ -20,6 +20,7 @@
 from honeybarrow.lab.net import SECOND, Host, Link, World
 from honeybarrow.rehearsal import Logbook, Play, Rehearsal, Verdict
 from honeybarrow.rehearsal.links import CLEAR, Way
+from honeybarrow.rehearsal.logbook import Entry
 from honeybarrow.service import Service
 
 LINK = Link()
@@ -53,6 +54,7 @@
     took_s: float
     events: int
     trace: list[dict[str, Any]] = field(default_factory=list)
+    entries: list[Entry] = field(default_factory=list)  # of the stand-ins' logbook
 
 
 class Trace:
@@ -187,6 +189,7 @@
         time.perf_counter() - began,
         world.events,
         trace.lines,
+        book.entries,
     )
 
 
--- a/honeybarrow/observe.py
+++ b/honeybarrow/observe.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from opentelemetry import trace
@@ -15,6 +15,8 @@
 from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
 from opentelemetry.trace import Status, StatusCode
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from honeybarrow.seams import Nobody, Observer
 
@@ -49,6 +51,46 @@
             each.turned_away(why)
 
 
+class FleetNumbers(Collector):
+    """What a fleet's agent counts, read at the time of a scrape; bounded by states, zones and reasons."""
+
+    def __init__(self, read: Callable[[], dict[str, Any]]) -> None:
+        self.read = read
+
+    def collect(self) -> Iterator[Metric]:
+        """The numbers."""
+        numbers = self.read()
+        members = GaugeMetricFamily(
+            "honeybarrow_fleet_members", "Members by state, as this one knows", labels=["state"]
+        )
+        for state, count in numbers["members"].items():
+            members.add_metric([state], count)
+        yield members
+        zones = GaugeMetricFamily(
+            "honeybarrow_fleet_zone",
+            "How a zone stands, for all or for the members of one zone: 1 for the state it is in",
+            labels=["zone", "members_of", "stand"],
+        )
+        for labels in numbers["zones"]:
+            zones.add_metric(list(labels), 1)
+        yield zones
+        yield GaugeMetricFamily(
+            "honeybarrow_fleet_kept_destinations",
+            "Destinations in use though all their zones are left",
+            value=numbers["kept"],
+        )
+        for name, text in (
+            ("sent", "Datagrams sent"),
+            ("received", "Datagrams received"),
+            ("octets_sent", "Octets of datagrams sent"),
+        ):
+            yield CounterMetricFamily(f"honeybarrow_fleet_{name}", text, value=numbers[name])
+        dropped = CounterMetricFamily("honeybarrow_fleet_dropped", "Messages dropped", labels=["why"])
+        for why, count in numbers["dropped"].items():
+            dropped.add_metric([why], count)
+        yield dropped
+
+
 class Metrics:
     """Numbers for a scrape. ``gauges``: what is read at the time of one."""
 
@@ -98,6 +140,10 @@
         self._children: dict[tuple[Any, ...], Any] = {}
         self._open: dict[str, tuple[str, str, int]] = {}
 
+    def watch_fleet(self, read: Callable[[], dict[str, Any]]) -> None:
+        """Numbers of a fleet's agent too."""
+        self.registry.register(FleetNumbers(read))
+
     def _child(self, metric: Any, *labels: str) -> Any:
         key = (metric._name, *labels)
         child = self._children.get(key)
--- a/honeybarrow/rehearsal/judge.py
+++ b/honeybarrow/rehearsal/judge.py
@@ -14,6 +14,7 @@
 from honeybarrow.config.schema import Forwarder, MessageClass
 from honeybarrow.rehearsal.logbook import Entry
 from honeybarrow.rehearsal.schema import Rehearsal
+from honeybarrow.rehearsal.zones import ZoneFound, zone_lines, zones_found
 
 SLACK_US = 150_000
 NEVER = 1 << 62
@@ -28,6 +29,7 @@
     breaks: dict[str, list[str]] = field(default_factory=lambda: {rule: [] for rule in RULES})
     counts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     worth: dict[str, tuple[float, float, float]] = field(default_factory=dict)
+    zones: list[ZoneFound] = field(default_factory=list)
 
     @property
     def kept(self) -> bool:
@@ -74,6 +76,7 @@
         self._order()
         self._wait()
         self._figures()
+        self.verdict.zones = zones_found(self.entries, self.scenario, self.rules)
         return self.verdict
 
     def _break(self, rule: str, text: str) -> None:
@@ -316,4 +319,6 @@
         lines.append(f"  {name_:16} {asked:7.0f} {full:8.3f} {part:7.3f}")
     shown = ("asked", "hand-ins", "delivered", "refused", "failed", "without answer", "call", "ran")
     lines += ["", "  " + ", ".join(f"{key} {counts[key]}" for key in shown)]
+    if verdict.zones:
+        lines += ["", *zone_lines(verdict.zones)]
     return "\n".join(lines)
--- a/honeybarrow/rehearsal/partner.py
+++ b/honeybarrow/rehearsal/partner.py
@@ -190,9 +190,14 @@
             return
         # A window counts from taking to taking: how long it then lay in a queue is not the sender's to know.
         window = self.windows.get(name, 0)
+        # Nothing is answered while it is silent, not even that a message was taken before.
+        silent = bool(self.has("silent")) or self.spots.get(session.spot) == "spot_deaf"
         if window and ident in self.done and taken_us - self.done[ident] < window:
             self.book.note(self.spec.name, "dropped", message=ident)
-            session.say(REPEAT)
+            if silent:
+                session.deaf = True
+            else:
+                session.say(REPEAT)
             return
         self.done[ident] = taken_us
         self.book.note(
@@ -203,7 +208,7 @@
             forwarder=session.session.peer_name,
             target=session.station.target,
         )
-        if self.has("silent") or self.spots.get(session.spot) == "spot_deaf":
+        if silent:
             session.deaf = True
         elif self.rng.random() < self.has("answer_lost"):
             session.lose()
--- a/honeybarrow/rehearsal/play.py
+++ b/honeybarrow/rehearsal/play.py
@@ -104,6 +104,7 @@
                         if trouble.who in (station.target, *(spot.name for spot in station.spots)):
                             partner_.begin_spot(trouble.who, trouble.kind, trouble.last)
             case "zone_down":
+                self.note_zone(trouble)
                 self._zone_fails(trouble, trouble.who, trouble.met_by)
             case "drain" | "add":
                 state = "draining" if trouble.kind == "drain" else "ready"
@@ -117,12 +118,18 @@
 
     def zone_cut(self, trouble: Trouble) -> None:
         """A zone that is cut off, as its forwarders and those of the other zones meet it."""
+        self.note_zone(trouble)
         inside = [name for name, zone in self.zone_of.items() if within(zone, trouble.who)]
         for partner, station in self._stations():
             here = within(station.zone, trouble.who)
             names = [name for name in self.zone_of if (name in inside) != here]
             partner.begin_shunning(station.target, tuple(names), trouble.last)
 
+    def note_zone(self, trouble: Trouble) -> None:
+        """For the judge: a zone fails for everybody from now on."""
+        if not trouble.met_by:
+            self.book.note(trouble.who, "zone", kind=trouble.kind, last=trouble.last)
+
     def _zone_fails(self, trouble: Trouble, zone: str, met_by: str) -> None:
         for partner, station in self._stations():
             if not within(station.zone, zone):
@@ -195,6 +202,7 @@
 
     def _begin(self) -> None:
         self.told(f"{len(self.forwarders)} forwarders up, {self.scenario.length / 1e6:g} s of messages")
+        self.book.note("day", "began")
         self.ends_us = self.book.now_us() + self.scenario.length + self.scenario.settle
         for client in self.clients:
             client.start(self.scenario.length)
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -261,6 +261,8 @@
                 "list_version": ("Version of the list held", lambda: float(self.directory.version)),
             }
         )
+        if self.agent is not None:
+            self.metrics.watch_fleet(self.agent.numbers)
         return Both(self.metrics, spans) if spans is not None else self.metrics
 
     def _partner(self, number: int) -> str:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,8 +26,12 @@
 from honeybarrow.fleet.wire import Answer, Ask, Datagram, Frame, SetHold, Whole, WireError
 from honeybarrow.fleet.zones import Shown
 from honeybarrow.lab.net import Host, World
+from honeybarrow.observe import Metrics
 from honeybarrow.rehearsal import SCENARIO_WORDS, Rehearsal
 from honeybarrow.rehearsal.links import Way
+from honeybarrow.rehearsal.logbook import Entry
+from honeybarrow.rehearsal.plot import PlotError, plot
+from honeybarrow.rehearsal.zones import zones_found
 from tests.fleet_days import Line, script, verdicts, zones_left
 
 SECOND = 1_000_000
@@ -273,6 +277,24 @@
     assert [(each["zone"], each["held"]) for each in rows] == [("a", ""), ("b", "out"), ("c", "")]
 
 
+def test_numbers_of_the_fleet_are_scraped() -> None:
+    fleet = Fleet3()
+    fleet.run(2)
+    fleet.agents["a"].transport.asked(SetHold("b", True, 60 * SECOND))
+    fleet.agents["a"].transport.drop("unreadable")
+    metrics = Metrics({})
+    metrics.watch_fleet(fleet.agents["a"].numbers)
+    text = metrics.text().decode()
+    for line in (
+        'honeybarrow_fleet_members{state="alive"} 3.0',
+        'honeybarrow_fleet_zone{members_of="",stand="in use",zone="b"} 1.0',
+        'honeybarrow_fleet_dropped_total{why="unreadable"} 1.0',
+        "honeybarrow_fleet_kept_destinations 0.0",
+    ):
+        assert line in text
+    assert "honeybarrow_fleet_sent_total" in text
+
+
 def test_saved_verdicts_that_can_not_be_read_are_left() -> None:
     fleet = Fleet3()
     fleet.hosts["c"].kill()
@@ -450,7 +472,7 @@
 
 
 def test_forwarders_leave_a_silent_zone_together_and_come_back() -> None:
-    _, lines = day('trouble("zone_down", at = "6s", last = "6s", who = "b")')
+    result, lines = day('trouble("zone_down", at = "6s", last = "6s", who = "b")')
     heard = verdicts(lines, "b")
     assert list(heard) == [1, 2] and zones_left(lines) == ["b"]
     assert len(heard[1]) == len(heard[2]) == 9
@@ -506,3 +528,30 @@
     assert not [
         each for each in result.trace if "fleet" in each or each["what"].startswith(("member", "zone"))
     ]
+
+
+def entry(at_s: float, what: str, target: str = "p1-b", **fields: Any) -> Entry:
+    return Entry(int(at_s * SECOND), "p1.example", what, {"target": target, **fields})
+
+
+def test_what_became_of_a_zone_is_read_from_the_stand_ins_alone(tmp_path: Path) -> None:
+    records = config.evaluate("day.star", script(20900, "", 30), SCENARIO_WORDS)
+    scenario = next(each for each in records.values() if isinstance(each, Rehearsal))
+    down = Entry(10 * SECOND, "b", "zone", {"kind": "zone_down", "last": 10 * SECOND})
+    entries = [entry(n / 10, "call") for n in range(100)]  # ten a second
+    entries += [down, entry(10.5, "connection given up"), entry(11, "call unheard", "p1-a")]
+    entries += [entry(15, "connection refused"), entry(20, "connection refused")]
+    entries += [entry(20 + n / 2, "call") for n in range(4)]  # two a second, as a cold zone bears
+    entries += [entry(22 + n / 20, "call") for n in range(40)]  # then twenty
+    entries += [entry(30, "call", "p1-c")]
+    (found,) = zones_found(entries, scenario, config.every(records, Forwarder)[0].rules)
+    assert (found.lost, found.late, round(found.usual)) == (2, 1, 10)
+    assert 1.5 * SECOND <= found.half_us <= 2 * SECOND
+    assert 1.8 < found.over_cold < 2.7
+    plot(entries, scenario, tmp_path / "day.svg")
+    assert "zone b" in (tmp_path / "day.svg").read_text(encoding="utf-8")
+    with pytest.raises(PlotError):
+        plot(entries, scenario, tmp_path / "day.nothing")
+    with pytest.raises(PlotError, match="nothing happened"):
+        plot([], scenario, tmp_path / "day.svg")
+    assert zones_found([], scenario, config.every(records, Forwarder)[0].rules) == []
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -21,6 +21,7 @@
 from honeybarrow.lab.explain import explain
 from honeybarrow.rehearsal import SCENARIO_WORDS, Rehearsal, Trouble
 from tests import mutants
+from tests.fleet_days import script
 
 SECOND = 1_000_000
 CALM = Path(lab.__file__).parent.parent / "rehearsal" / "scenarios" / "calm.star"
@@ -241,3 +242,16 @@
     kept = next(tmp_path.glob("*.star"))
     assert runner.invoke(main, ["lab", "run", str(kept), "--quiet"]).exit_code == 0
     assert runner.invoke(main, ["lab", "explain", "nothing", "calm"]).exit_code == 2
+
+
+def test_a_silent_partner_answers_nothing_not_even_a_message_that_it_has_taken_before() -> None:
+    text = script(
+        20900, 'trouble("silent", at = "3s", last = "5s", who = "p1.example")', 10, count=2, rate=40.0
+    )
+    records = config.evaluate("day.star", text, SCENARIO_WORDS)
+    day = lab.Day(config.one(records, Rehearsal, CALM), tuple(config.every(records, Forwarder)))
+    entries = [each for each in lab.play(day).entries if each.who == "p1.example"]
+    on, off = [each.at for each in entries if each.what == "trouble"]
+    during = [each for each in entries if on + 100_000 < each.at < off]
+    assert [each for each in during if each.what == "dropped"], "messages came again"
+    assert not [each for each in during if each.what == "replied" and each["final"]]
