--- a/tests/test_zone_mutants.py
+++ b/tests/test_zone_mutants.py
@@ -99,7 +99,7 @@
 MUTANTS: dict[str, tuple[Patch, Callable[[], None]]] = {
     "no majority": (
         attribute(Zones, "_known", alone),
-        test_zones.test_a_minority_of_two_keeps_the_last_verdict,
+        test_zones.test_a_part_without_a_majority_decides_nothing_and_learns_when_it_is_back,
     ),
     "members to which all fail are believed": (
         attribute(Witness, "credible", lambda self, now: True),
