Fleet: two mutants that took no guard out, and parts without a test, mended

The mutant "words of an earlier life" broke sending altogether instead of that check, and "a counter that is behind" failed at another line than its own; machine_lost, what troubles do to a way, and a region's later verdict were held by no test of their own; relays stayed open at the end.

Change: both mutants take out what they name (the check of being behind is a method now); tests for machine_lost, way_of and a later verdict on a region, with a mutant; the relays close with the forwarders; a field nobody used is gone.

Decisions are as they were.

--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -132,6 +132,7 @@
         def ended(_: Any) -> None:
             if hurry.active():
                 hurry.cancel()
+            self.relays.close()
             done.callback(None)
 
         all_ended.addCallback(ended)
--- a/honeybarrow/fleet/agent.py
+++ b/honeybarrow/fleet/agent.py
@@ -78,7 +78,6 @@
             log,
         )
         self.place: Place | None = None
-        self._calls: dict[tuple[str, int], None] = {}
         self._timer: Any = None
         self._started_us = 0
         self._ready = False
--- a/honeybarrow/fleet/zones.py
+++ b/honeybarrow/fleet/zones.py
@@ -614,6 +614,11 @@
     def _courses_of(self, path: str) -> list[Course]:
         return [course for (each, _), course in self.courses.items() if each == path]
 
+    def _behind(self, path: str, answers: dict[str, tuple[int, Report]]) -> bool:
+        """Whether somebody holds a later verdict than this member."""
+        # Danger: a verdict that did not reach this counter would be made once more by it, from now.
+        return any(report.holds > self._holds(path) for _, report in answers.values())
+
     def _holds(self, path: str) -> int:
         """The number of the verdict for all that is held."""
         course = self.courses.get((path, ""))
@@ -666,9 +671,7 @@
         for course in self._courses_of(path):
             if self._is_out(path, course.verdict.group) and self._looks_well(now, course, answers):
                 return self._decide(now, course.verdict, path, course.verdict.group, answers, Judged(False))
-        # Danger: a verdict that did not reach this counter would be made once more by it, from now.
-        behind = any(report.holds > self._holds(path) for _, report in answers.values())
-        if behind or self._is_out(path, ""):
+        if self._behind(path, answers) or self._is_out(path, ""):
             return False
         groups: dict[str, dict[str, tuple[int, Report]]] = {}
         for name, each in answers.items():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -28,9 +28,10 @@
 from honeybarrow.lab.net import Host, World
 from honeybarrow.observe import Metrics
 from honeybarrow.rehearsal import SCENARIO_WORDS, Rehearsal
-from honeybarrow.rehearsal.links import Way
+from honeybarrow.rehearsal.links import Way, way_of
 from honeybarrow.rehearsal.logbook import Entry
 from honeybarrow.rehearsal.plot import PlotError, plot
+from honeybarrow.rehearsal.schema import Trouble
 from honeybarrow.rehearsal.zones import zones_found
 from tests.fleet_days import Line, script, verdicts, zones_left
 
@@ -519,6 +520,30 @@
     assert len(heard[max(heard)]) == 9
 
 
+def test_a_forwarder_that_lost_its_machine_hears_of_the_verdict_again() -> None:
+    _, lines = day(
+        'trouble("zone_down", at = "6s", last = "9s", who = "b"),'
+        'trouble("machine_lost", at = "10s", last = "1s", who = "f2")'
+    )
+    again = [each.at for each in lines if (each.who, each.what) == ("f2", "zone left")]
+    started = [each.at for each in lines if (each.who, each.what) == ("f2", "restarted")]
+    assert len(again) == 2 and again[1] > started[0], "once before, and once by the others"
+
+
+@pytest.mark.parametrize(
+    ("kind", "size", "way"),
+    [
+        ("link_cut", 1.0, Way(cut=True)),
+        ("link_one_way", 1.0, Way(cut=True)),
+        ("zone_cut", 1.0, Way(cut=True)),
+        ("link_slow", 100.0, Way(delay_us=100_000, jitter_us=50_000)),
+        ("link_lossy", 0.2, Way(loss=0.2, twice=0.04, jitter_us=20_000)),
+    ],
+)
+def test_what_a_trouble_does_to_a_way(kind: Any, size: float, way: Way) -> None:
+    assert way_of(Trouble(kind=kind, at=0, size=size)) == way
+
+
 def test_without_a_fleet_nothing_of_it_listens_or_speaks() -> None:
     records = config.evaluate("day.star", script(20900, "", 5), SCENARIO_WORDS)
     forwarders = [msgspec.structs.replace(each, fleet=None) for each in config.every(records, Forwarder)]
--- a/tests/test_zone_mutants.py
+++ b/tests/test_zone_mutants.py
@@ -11,8 +11,8 @@
 
 from honeybarrow import interface as hb
 from honeybarrow.fleet import evidence, view, zones
+from honeybarrow.fleet.agent import Agent
 from honeybarrow.fleet.evidence import Pool, Seen, Witness
-from honeybarrow.fleet.transport import Transport
 from honeybarrow.fleet.view import View
 from honeybarrow.fleet.zones import Rules, Shown, Zones
 from honeybarrow.lab.members import SECOND, Fault, Members, Plan
@@ -149,7 +149,7 @@
         test_zones.test_what_the_rest_can_not_bear_is_left_in_part,
     ),
     "a counter that is behind decides": (
-        attribute(Zones, "_holds", lambda self, path: 1 << 40),
+        attribute(Zones, "_behind", lambda self, path, answers: False),
         test_zones.test_a_counter_that_did_not_hear_of_a_verdict_asks_for_it_and_does_not_make_it_again,
     ),
     "a zone without an endpoint left": (
@@ -161,8 +161,12 @@
         test_fleet.test_the_registers_own_drain_goes_before,
     ),
     "words of an earlier life": (
-        attribute(Transport, "place", lambda self, name: None),
-        test_fleet.test_agents_join_leave_and_come_again_as_another_life,
+        attribute(Agent, "_known", lambda self, name: (0, "")),
+        test_fleet.test_what_comes_on_the_port_and_is_no_news_is_counted_and_dropped,
+    ),
+    "a region's zones keep their own verdicts": (
+        attribute(Zones, "_void", lambda self, course: False),
+        test_zones.test_a_later_verdict_on_a_region_stands_for_its_zones,
     ),
 }
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -468,6 +468,19 @@
     assert zones.shown(SECOND, "b", 0) is Shown.LEFT
 
 
+def test_a_later_verdict_on_a_region_stands_for_its_zones() -> None:
+    zones = member("m1", "r2/c")
+    ready = hb.EndpointState.READY
+    zones.listed([hb.Endpoint(z, 1, ready, "", z, 100.0) for z in ("r1/a", "r1/b", "r2/c", "r2/d")])
+    now = 100 * SECOND
+    zones.take(now, Told(((verdict(1, path="r1/a"), 60 * SECOND),)))
+    assert zones.shown(now, "r1/a", 1) is Shown.LEFT
+    zones.take(now, Told(((verdict(2, path="r1"), 40 * SECOND),)))
+    assert zones.shown(now, "r1/a", 1) is Shown.USED
+    zones.take(now, Told(((verdict(3, path="r1/a"), 20 * SECOND),)))
+    assert zones.shown(now, "r1/a", 1) is not Shown.USED, "and a later one on the zone again for that"
+
+
 def test_bounds_on_what_others_may_make_a_member_hold() -> None:
     zones = member()
     many = tuple((verdict(1, path=f"p{n}"), 0) for n in range(1000))
