Discovery: a silent watch is opened anew at once; pushed lists are watched; indented items

(1) A watch that fell silent was noticed after 4.5 s (node/discovery.py, QUIET_S), then the module waited 0.7 to 1 s (decide.py, ASK_US) and a connect could take 2.5 s: past the 6 s after which what was missed counts as told. (2) An item was a line (discovery.py, _lines): an indented list was "not JSON" and ended the watch, each time it came. (3) Where lists are pushed nobody opened a watch: the module subscribes only where lists are asked for, and the process had no other way to hear of a drain. There the list counts as told from the first moment of a process, and what an earlier life held went out by the old list.

Change: silence is noticed after 1.3 beats of the protocol's 2 s and the watch opened anew at once from the version held; only if that fails does the module hear of it, and its first wait still fits in the 6 s. Items are cut by brackets, bounded, and an empty line within one ends the watch. Where lists are pushed the process watches by itself, and neither resumes nor takes anything before the first list, a failure, or 2.5 s.

--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -1,6 +1,8 @@
-"""The watch of discovery's list: opened when the module asks, told line by line, given up when it is dead.
+"""Discovery's watch: opened when the module asks, told item by item, opened anew when it is silent.
 
-The module decides when to ask again; here is only what the connection tells. One watch at a time.
+What a silent watch misses counts as told 6 s after it fell silent, whether it came or not. So silence is
+noticed at the first beat that is missed, and a new watch opened at once from the version held. Only if that one
+fails does the module hear of it, who decides when to ask again. One watch at a time.
 """
 
 from __future__ import annotations
@@ -15,12 +17,12 @@
 from honeybarrow import http
 from honeybarrow import interface as hb
 from honeybarrow.forward import Dial
-from honeybarrow.node.listing import ListError, Listing, parse_line
+from honeybarrow.node.listing import Items, ListError, Listing
 from honeybarrow.seams import Clock, Delayed, Network
 
-ANSWER_S = 2.5  # for the head of the answer, from the begin of the connect
-QUIET_S = 4.5  # without a line, where an empty one comes every two seconds, a watch is dead
-LINE_MOST = 4 << 20  # bytes of one line
+BEAT_S = 2.0  # between empty lines, while nothing changes (the platform's protocol)
+QUIET_S = 1.3 * BEAT_S  # without a line, after which a watch is dead; a wrong guess costs one call
+ANSWER_S = 2.2  # for the head of the answer, from the begin of the connect: two such fit in the 6 s
 log = logging.getLogger("honeybarrow.node")
 
 
@@ -32,8 +34,9 @@
     def __init__(self, discovery: Discovery, host: str, version: int | None) -> None:
         self.discovery, self.host, self.version = discovery, host, version
         self.reader = http.ResponseReader()
-        self.line = bytearray()
+        self.items = Items()
         self.over = False
+        self.alive = False  # its answer has begun
 
     def connectionMade(self) -> None:
         if self.over:
@@ -59,19 +62,13 @@
 
     def _lines(self, part: bytes) -> None:
         self.discovery.heard(self)
-        self.line += part
-        if len(self.line) > LINE_MOST:
-            self.discovery.failed(self, "a line of the list is too long")
+        try:
+            listings = self.items.receive(part)
+        except ListError as error:
+            self.discovery.failed(self, str(error))
             return
-        *lines, rest = self.line.split(b"\n")
-        self.line = bytearray(rest)
-        for line in lines:
-            if line.strip() and not self.over:
-                try:
-                    listing = parse_line(bytes(line))
-                except ListError as error:
-                    self.discovery.failed(self, str(error))
-                    return
+        for listing in listings:
+            if not self.over:
                 self.discovery.told(listing)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -132,11 +129,21 @@
             self._timer.cancel()
         self._timer = None
         if seconds is not None:
-            self._timer = self.clock.callLater(seconds, self.failed, self._watch, "nothing comes")
+            self._timer = self.clock.callLater(seconds, self._silent, self._watch)
+
+    def _silent(self, watch: _Watch) -> None:
+        if not watch.alive:
+            self.failed(watch, "no answer")
+            return
+        # Danger: asked again by the module's waits, which grow, the list would be older than it may be.
+        log.info("discovery: the watch is silent, it is opened anew")
+        self.close()
+        self._open()
 
     def heard(self, watch: _Watch) -> None:
         """Something came on the watch."""
         if watch is self._watch:
+            watch.alive = True
             self._set_timer(QUIET_S)
 
     def told(self, listing: Listing) -> None:
--- a/honeybarrow/node/listing.py
+++ b/honeybarrow/node/listing.py
@@ -4,12 +4,15 @@
 
 import json
 import logging
+import re
 from dataclasses import dataclass
 from typing import Any
 
 from honeybarrow import interface as hb
 
 ENTRIES_MOST = 10_000  # of one list
+ITEM_MOST = 4 << 20  # bytes of one item
+_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # those in a string are skipped with it
 STATES = {
     "active": hb.EndpointState.READY,
     "leaving": hb.EndpointState.DRAINING,
@@ -49,7 +52,7 @@
 
 
 def parse_line(line: bytes) -> Listing:
-    """One line of a watch, or a whole answer."""
+    """One item of a watch, or a whole answer."""
     try:
         value = json.loads(line)
     except (ValueError, RecursionError):
@@ -57,6 +60,43 @@
     return parse_listing(value)
 
 
+class Items:
+    """Items of a watch from its bytes: a line each, or over several lines where they come indented.
+
+    What can't be read, and an item that an empty line (a sign of life) cuts in two, raise ``ListError``.
+    """
+
+    def __init__(self) -> None:
+        self._rest = bytearray()  # of a line
+        self._item = bytearray()  # lines of an item that is not whole
+        self._depth = 0  # brackets open in them
+
+    def receive(self, data: bytes) -> list[Listing]:
+        """The items that these bytes complete.
+
+        :raises ListError: if nothing more can be read from this watch.
+        """
+        self._rest += data
+        if len(self._rest) + len(self._item) > ITEM_MOST:
+            raise ListError(f"an item of the list has more than {ITEM_MOST} bytes")
+        *lines, rest = self._rest.split(b"\n")
+        self._rest = bytearray(rest)
+        return [item for line in lines if (item := self._line(bytes(line))) is not None]
+
+    def _line(self, line: bytes) -> Listing | None:
+        if not line.strip():
+            if self._item:
+                raise ListError("an item of the list ends in the middle")
+            return None
+        for token in _BRACKET.findall(line):
+            self._depth += (token in (b"{", b"[")) - (token in (b"}", b"]"))
+        self._item += line + b"\n"
+        if self._depth > 0:
+            return None
+        item, self._item, self._depth = bytes(self._item), bytearray(), 0
+        return parse_line(item)
+
+
 def parse_listing(value: Any) -> Listing:
     """An item that was read as JSON. An entry that can't be read is skipped and logged.
 
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -28,6 +28,7 @@
 DISK_SHARE = 0.8  # of the folder's bound that the journal may take
 PULSE_S = 10.0
 LAG_S = 0.1  # between looks at how late the loop is
+FIRST_LIST_S = 2.5  # for the first list where lists are pushed; a forwarder has 30 s to be ready
 STOP_LEAST_S = 0.6  # new connections come for so long after SIGTERM
 log = logging.getLogger("honeybarrow.node")
 
@@ -91,7 +92,7 @@
             may_begin=self._may_begin,
         )
         self.discovery = Discovery(
-            reactor, reactor, config.discovery, config.known.version, self._told, self.core.news
+            reactor, reactor, config.discovery, config.known.version, self._told, self._lost
         )
         self.reports = Reports(
             reactor, reactor, config.discovery, self.journal.commit, lambda taken: self.desk.noticed(taken)
@@ -100,6 +101,7 @@
         self.desk = Desk(self.core, self.journal, self.reports, wall_us, self.targets.listed, rng)
         self.front = Front(reactor, self.desk, shares.clients)
         self.port: Any = None
+        self._first: Any = None  # the timer of the first list, while it is waited for
         self._lag = 0.0
         self._looked = 0.0
         self._wall_us = wall_us
@@ -110,6 +112,22 @@
         self.port = self.reactor.listenTCP(port, self.front, backlog=512, interface=host)
         self.targets.take(self.config.known)
         self.core.news(self.config.known.news(hb.ListKind.SAVED))
+        self._looked = self.reactor.seconds()
+        self.reactor.callLater(LAG_S, self._look)
+        self.reactor.callLater(PULSE_S, self._pulse)
+        if self.config.settings.on_request:
+            self._go_on()
+            return
+        # Danger: where lists are pushed, what discovery has counts as told from the first moment, and the
+        # list of an earlier life may be old. So nothing is sent before it has come, or is late.
+        self._first = self.reactor.callLater(FIRST_LIST_S, self._go_on)
+        self.discovery.subscribe()
+
+    def _go_on(self) -> None:
+        """The list is as new as it can be had: what an earlier life held goes on, and clients may come."""
+        if self._first is not None and self._first.active():
+            self._first.cancel()
+        self._first = None
         planned = self._wall_us()
         steps = plan(list(self.journal.ledger.entries.values()), self.core.sender.classes, planned)
         for step in steps:
@@ -121,9 +139,6 @@
         if steps:
             log.info("of an earlier life: %d go on, %d end", resumed, len(steps) - resumed)
         self.reactor.callLater(0, self._be_ready)
-        self._looked = self.reactor.seconds()
-        self.reactor.callLater(LAG_S, self._look)
-        self.reactor.callLater(PULSE_S, self._pulse)
 
     def _be_ready(self) -> None:
         self.desk.ready = True
@@ -139,6 +154,13 @@
         for target in self.targets.take(listing):
             self.pool.close_idle(target)
         self.core.news(listing.news())
+        if self._first is not None:
+            self._go_on()
+
+    def _lost(self, news: hb.MembershipNews) -> None:
+        self.core.news(news)
+        if self._first is not None:
+            self._go_on()
 
     # signals
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,16 +16,17 @@
 
 from honeybarrow import http
 from honeybarrow import interface as hb
+from honeybarrow.decide import ASK_US
 from honeybarrow.forward import Forwarder, Outcome
 from honeybarrow.node import places
 from honeybarrow.node.calls import CallPool, Parcel, of_answer, read_load
-from honeybarrow.node.config import ConfigError, parse_config
+from honeybarrow.node.config import Config, ConfigError, Limits, parse_config
 from honeybarrow.node.desk import Desk
-from honeybarrow.node.discovery import QUIET_S, Discovery
+from honeybarrow.node.discovery import ANSWER_S, BEAT_S, QUIET_S, Discovery
 from honeybarrow.node.front import Front
 from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
-from honeybarrow.node.listing import ListError, Listing, Targets, parse_line, parse_place
-from honeybarrow.node.main import PlainLog
+from honeybarrow.node.listing import ITEM_MOST, Items, ListError, Listing, Targets, parse_line, parse_place
+from honeybarrow.node.main import FIRST_LIST_S, Node, PlainLog
 from honeybarrow.node.places import MUTE_S, SILENT_S, Due, Shares, Stage, due, rank, share_out
 from honeybarrow.node.reports import Reports
 from honeybarrow.node.store import Journal
@@ -671,21 +672,90 @@
     assert [listing.version for listing in watching.told] == [4] and watching.discovery.version == 4
 
 
-def test_a_watch_that_falls_silent_breaks_or_is_refused_is_told_once() -> None:
+def test_items_may_be_indented_and_several_may_come_at_once() -> None:
+    entry = {**LINE, "name": 'a}{ ["\\'}  # brackets and quotes in a string open and close nothing
+    item = {"index": 5, "snapshot": True, "endpoints": [entry, LINE]}
+    data = json.dumps(item, indent=2).encode() + b"\n\n" + line() + b"\n"
+    whole = Items().receive(data + data)
+    assert [each.version for each in whole] == [5, 4, 5, 4] and len(whole[0].endpoints) == 2
+    items = Items()
+    bytewise = [each for at in range(len(data)) for each in items.receive(data[at : at + 1])]
+    assert bytewise == whole[:2]
+
+
+@pytest.mark.parametrize("data", [b"no list\n", b'{"index": 5,\n\n', b"}\n", b" " * (ITEM_MOST + 1)])
+def test_a_watch_that_can_not_be_read_on_is_told(data: bytes) -> None:
+    with pytest.raises(ListError):
+        Items().receive(data)
+    watching = Watching()
+    watching.up()[0].dataReceived(HEAD + chunk(data))
+    assert [news.kind for news in watching.lost] == [hb.ListKind.FAILED]
+
+
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() -> None:
     watching = Watching()
     watch, _ = watching.up()
-    watch.dataReceived(HEAD)
+    watch.dataReceived(HEAD + chunk(line() + b"\n"))
     for _ in range(5):
-        watching.clock.advance(2)
+        watching.clock.advance(BEAT_S)
         watch.dataReceived(chunk(b"\n"))
-    assert watching.lost == []
-    watching.clock.advance(QUIET_S + 0.1)
+    assert len(watching.clock.tcpClients) == 1
+    # From here it is silent. The first call for a new one meets nobody, the next comes when the module asks.
+    watching.clock.pump([0.1] * int((QUIET_S + 0.1) * 10))
+    assert len(watching.clock.tcpClients) == 2 and watching.lost == []
+    watching.clock.pump([0.1] * int((ANSWER_S + 0.1) * 10))
+    assert [news.kind for news in watching.lost] == [hb.ListKind.FAILED]
+    first_wait_s = ASK_US[0] * 2 / 1e6
+    assert QUIET_S + ANSWER_S + first_wait_s < 6
+    watch.dataReceived(chunk(line() + b"\n"))  # the old one wakes: it says nothing any more
+    watching.discovery.subscribe()
+    again, wire = watching.up()
+    assert b"index=4 " in wire.value()
+    again.dataReceived(HEAD + chunk(line() + b"\n"))
+    assert len(watching.told) == 2 and len(watching.lost) == 1
+
+
+def test_a_watch_that_breaks_or_is_refused_is_told_once() -> None:
+    watching = Watching()
+    watch, _ = watching.up()
+    watch.dataReceived(HEAD)
     watch.connectionLost()
     watching.discovery.subscribe()
     watching.up()[0].dataReceived(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
     assert [news.kind for news in watching.lost] == [hb.ListKind.FAILED] * 2
 
 
+@pytest.mark.parametrize("how", ["told", "refused", "silent"])
+def test_where_lists_are_pushed_nothing_is_sent_by_an_old_list(tmp_path: Path, how: str) -> None:
+    clock = MemoryReactorClock()
+    reactor: Any = clock
+    now = lambda: int(clock.seconds() * 1e6)  # noqa: E731
+    with_past = Journal(str(tmp_path), 1_000_000, now)
+    with_past.record(Taken("m1", "note", 3, 9 * SECOND, "", "key", b"hi"))
+    with_past.close()
+    config = Config(
+        "n0", ("127.0.0.1", 9), ("127.0.0.2", 8500), str(tmp_path), 1, Limits(256, 3_000_000),
+        parse_line(line(status="active")), settings(),
+    )  # fmt: skip
+    node = Node(config, reactor, now, now, lambda error: None)
+    node.start()
+    clock.advance(0.01)
+    assert [each[0] for each in clock.tcpClients] == ["127.0.0.2"]  # it asks, and calls nobody
+    assert not node.desk.ready
+    watch, wire = clock.tcpClients[0][2].buildProtocol(None), Wire()
+    watch.makeConnection(wire)
+    if how == "told":
+        watch.dataReceived(HEAD + chunk(line(status="leaving") + b"\n"))
+    elif how == "refused":
+        watch.dataReceived(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+    else:
+        clock.pump([0.1] * int((FIRST_LIST_S + 0.1) * 10))
+    clock.pump([0.01] * 5)
+    assert node.desk.ready
+    called = [each[0] for each in clock.tcpClients if each[0] == "10.0.0.1"]
+    assert called == ([] if how == "told" else ["10.0.0.1"])
+
+
 def test_a_new_address_is_watched_at_once_from_the_version_held() -> None:
     watching = Watching()
     watch, _ = watching.up()
