--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -22,10 +22,11 @@
 from honeybarrow.cli.logs import LEVELS, start_logging
 from honeybarrow.collector import calm
 from honeybarrow.config import schema
+from honeybarrow.errors import USAGE, NoSense, Problem, explain
 from honeybarrow.interface import check as check_module
 from honeybarrow.rehearsal.schema import LINK_KINDS, SCENARIO_WORDS, Rehearsal
 
-BROKEN, USAGE, CANNOT_LISTEN, FAULT = 1, 2, 3, 70
+BROKEN, CANNOT_LISTEN, FAULT = 1, 3, 70
 
 log_options = [
     click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True),
@@ -39,8 +40,11 @@
     return command
 
 
-def fail(text: str, status: int) -> None:
-    click.echo(f"honeybarrow: {text}", err=True)
+def fail(what: str | BaseException, status: int = USAGE) -> None:
+    """End the program with what is wrong; for an error of ours with its remedy, code and status."""
+    if isinstance(what, Problem):
+        status = what.status
+    click.echo(f"honeybarrow: {what if isinstance(what, str) else explain(what)}", err=True)
     sys.exit(status)
 
 
@@ -61,8 +65,8 @@
     settings = read_forwarder(file, name)
     try:
         check_module(settings.settings())
-    except ValueError as error:
-        fail(f"{file}: {error}", USAGE)
+    except NoSense as error:
+        fail(NoSense(f"{file}: {error}"))
     click.echo(f"{file}: forwarder {settings.name}, {len(settings.classes)} classes, {settings.slots} slots")
     for each in settings.classes:
         click.echo(
@@ -78,7 +82,7 @@
     try:
         return config.one(config.read(file, SCENARIO_WORDS), schema.Forwarder, file, name)
     except config.ConfigError as error:
-        fail(str(error), USAGE)
+        fail(error)
         raise AssertionError from None
 
 
@@ -133,8 +137,8 @@
         places = service.start()
     except CannotListenError as error:
         fail(str(error), CANNOT_LISTEN)
-    except ValueError as error:
-        fail(f"{file}: {error}", USAGE)
+    except Problem as error:
+        fail(error)
     for protocol, host, port in places:
         log.info("listening", protocol=protocol, host=host, port=port)
 
@@ -261,7 +265,7 @@
         records = config.read(file, SCENARIO_WORDS)
         return config.one(records, Rehearsal, file), config.every(records, schema.Forwarder)
     except config.ConfigError as error:
-        fail(str(error), USAGE)
+        fail(error)
         raise AssertionError from None
 
 
@@ -295,7 +299,7 @@
             return context, None
         accounts = read_accounts(Path(settings.accounts).read_text(encoding="utf-8"))
     except TlsError as error:
-        fail(str(error), USAGE)
+        fail(error)
     except (OSError, ValueError) as error:
         fail(f"{settings.accounts}: {error}", USAGE)
 
@@ -339,8 +343,10 @@
     directory = Directory()
     try:
         directory.take(file.read_bytes(), saved=True)
-    except (OSError, ListError) as error:
+    except OSError as error:
         fail(f"{file}: {error}", USAGE)
+    except ListError as error:
+        fail(error)
     settings = read_forwarder(script, name) if script else None
     book = Addresses(random.Random(1), settings.zone if settings else "")
     territory = (
--- a/honeybarrow/config/script.py
+++ b/honeybarrow/config/script.py
@@ -17,6 +17,7 @@
 import starlark
 
 from honeybarrow.config import schema
+from honeybarrow.errors import Problem
 
 Record = TypeVar("Record", bound=msgspec.Struct)
 UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000}
@@ -25,9 +26,13 @@
 STEP_LIMIT = 200_000  # loops of a script end
 
 
-class ConfigError(Exception):
+class ConfigError(Problem):
     """A script that can't be read; the text is for the person who wrote it."""
 
+    code = "HB111"
+    remedy = "correct the script at the line named, and try it with 'honeybarrow check FILE'"
+    status = 2
+
 
 WORDS: dict[str, type[msgspec.Struct]] = {
     "message_class": schema.MessageClass,
--- a/honeybarrow/drill.py
+++ b/honeybarrow/drill.py
@@ -12,6 +12,7 @@
 
 from honeybarrow import interface as hb
 from honeybarrow.decide import Sender
+from honeybarrow.errors import Problem
 from honeybarrow.settings import read_settings
 
 STATES = {
@@ -40,9 +41,12 @@
 Value = TypeVar("Value")
 
 
-class WireError(Exception):
+class WireError(Problem):
     """The input is not what the wire allows."""
 
+    code = "HB902"
+    remedy = "compare the build with the bench's wire page; the last line read stands in the text"
+
 
 class Fields:
     """The parts of one line, read by name and type."""
--- a/honeybarrow/fleet/agent.py
+++ b/honeybarrow/fleet/agent.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from honeybarrow import interface as hb
+from honeybarrow.errors import NoSense, explain
 from honeybarrow.fleet import membership as swim
 from honeybarrow.fleet import zones as verdicts
 from honeybarrow.fleet.evidence import Measures, Witness
@@ -256,8 +257,8 @@
         if isinstance(question, SetHold):
             try:
                 self._verdicts(self.zones.hold(now, question.path, question.out, question.for_us))
-            except ValueError as error:
-                return Answer(error=str(error))
+            except NoSense as error:
+                return Answer(error=explain(error))
             return Answer(text=msgspec.json.encode(self.zones_now()).decode())
         rows = self.members_now() if question.what == "members" else self.zones_now()
         return Answer(text=msgspec.json.encode(rows).decode())
--- a/honeybarrow/fleet/evidence.py
+++ b/honeybarrow/fleet/evidence.py
@@ -19,6 +19,7 @@
 import msgspec
 from msgspec import Meta
 
+from honeybarrow.errors import NoSense
 from honeybarrow.fleet.membership import Number, Path
 from honeybarrow.interface import Status
 
@@ -86,10 +87,10 @@
 
     def __post_init__(self) -> None:
         if not 0.5 <= self.lost_share <= 1.0 or not 0.5 <= self.destinations_share <= 1.0:
-            raise ValueError("lost_share and destinations_share lie between 0.5 and 1")
+            raise NoSense("lost_share and destinations_share lie between 0.5 and 1")
         for name in ("span_us", "spans", "lost_least", "destinations_least", "origins_least", "cells_most"):
             if getattr(self, name) < 1:
-                raise ValueError(f"{name} must be at least 1")
+                raise NoSense(f"{name} must be at least 1")
 
     @property
     def window_us(self) -> int:
--- a/honeybarrow/fleet/wire.py
+++ b/honeybarrow/fleet/wire.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Meta
 
+from honeybarrow.errors import Problem
 from honeybarrow.fleet import membership as swim
 from honeybarrow.fleet import zones
 from honeybarrow.fleet.membership import Name, Number, Path, Word
@@ -22,9 +23,12 @@
 MEMBERS_MOST = 4096
 
 
-class WireError(ValueError):
+class WireError(Problem, ValueError):
     """Octets that are no message of this fleet."""
 
+    code = "HB401"
+    remedy = "compare the fleet's name and the builds of both sides; else something that is no member sends"
+
 
 class Whole(msgspec.Struct, frozen=True, array_like=True, tag=21):
     """All that a member knows: one side of a swap."""
--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -18,6 +18,7 @@
 from honeybarrow import interface as hb
 from honeybarrow.admission import intake
 from honeybarrow.decide import Sender
+from honeybarrow.errors import NoSense
 from honeybarrow.forward.outcome import Outcome
 from honeybarrow.mail import Reply
 from honeybarrow.seams import (
@@ -205,12 +206,12 @@
     def submit(self, submission: Submission) -> Deferred[Answer]:
         """Take a message; its one final answer. Cancelling it withdraws the message.
 
-        Raises ``ValueError`` for an id that is held already and for an unknown class.
+        Raises :class:`NoSense` for an id that is held already and for an unknown class.
         """
         if submission.message in self._held:
-            raise ValueError(f"message {submission.message!r} is held already")
+            raise NoSense(f"message {submission.message!r} is held already")
         if submission.class_name not in self.sender.classes:
-            raise ValueError(f"unknown class {submission.class_name!r}")
+            raise NoSense(f"unknown class {submission.class_name!r}")
         done: Deferred[Answer] = Deferred(lambda _: self._withdraw(submission.message))
         if self._open >= self.settings.max_open and not submission.resumed:
             self.counts.turned_away += 1
--- a/honeybarrow/front/mapping.py
+++ b/honeybarrow/front/mapping.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from honeybarrow import mail
+from honeybarrow.errors import Problem
 from honeybarrow.mail import Path, Reply
 
 NO_PARTNER = Reply(550, "5.1.2", "no such partner")
@@ -21,9 +22,12 @@
 KEY_BITS = 53  # the module's keys are numbers below 2^53
 
 
-class Unmapped(ValueError):
+class Unmapped(Problem, ValueError):
     """A message that the rules can't place; ``reply`` tells the client why."""
 
+    code = "HB303"
+    remedy = "the client is told by the reply; compare the recipient with the routing and the partners' list"
+
     def __init__(self, reply: Reply) -> None:
         super().__init__(reply.text)
         self.reply = reply
--- a/honeybarrow/http/grammar.py
+++ b/honeybarrow/http/grammar.py
@@ -4,6 +4,8 @@
 
 import re
 
+from honeybarrow.errors import Problem
+
 HEAD_MOST = 8192  # bytes of a head, start line and fields together
 LINES_MOST = 64  # field lines of a head
 BODY_MOST = 65536  # bytes of a body, by the platform's protocol
@@ -13,9 +15,12 @@
 SINGLE = frozenset((b"content-length", b"transfer-encoding", b"host"))
 
 
-class GrammarError(ValueError):
+class GrammarError(Problem, ValueError):
     """The bytes are not what RFC 9112 allows, or go past a bound."""
 
+    code = "HB201"
+    remedy = "the connection is closed; if it is a partner's or a client's, have its HTTP library looked at"
+
 
 def parse_fields(lines: list[bytes]) -> dict[bytes, bytes]:
     """Field lines by lower-case name; the values of repeated ones are joined with a comma.
--- a/honeybarrow/interface.py
+++ b/honeybarrow/interface.py
@@ -9,6 +9,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from honeybarrow.errors import NoSense
+
 # --- settings -------------------------------------------------------------------------------
 
 
@@ -99,15 +101,15 @@
 
 
 def check(settings: Settings) -> None:
-    """Raise ``ValueError`` for settings that make no sense."""
+    """Raise :class:`NoSense` for settings that make none."""
     for name in ("slots", "max_open", "senders", "attempt_cap"):
         if getattr(settings, name) < 1:
-            raise ValueError(f"{name} must be at least 1")
+            raise NoSense(f"{name} must be at least 1")
     for item in settings.classes:
         if min(item.aim_us, item.window_us, item.worth, item.late_share) < 0:
-            raise ValueError(f"classes: {item.name}: aim_us, window_us, worth, late_share can't be negative")
+            raise NoSense(f"classes: {item.name}: aim_us, window_us, worth, late_share can't be negative")
         if item.deadline_us < item.aim_us:
-            raise ValueError(f"classes: {item.name}: deadline_us (hard cap) is under aim_us (soft cap)")
+            raise NoSense(f"classes: {item.name}: deadline_us (hard cap) is under aim_us (soft cap)")
 
 
 # --- events ---------------------------------------------------------------------------------
--- a/honeybarrow/mail/grammar.py
+++ b/honeybarrow/mail/grammar.py
@@ -10,12 +10,17 @@
 import re
 from dataclasses import dataclass, field
 
+from honeybarrow.errors import Problem
+
 CRLF = b"\r\n"
 
 
-class GrammarError(ValueError):
+class GrammarError(Problem, ValueError):
     """Input that the grammar does not allow; ``reply`` is what a server says to it."""
 
+    code = "HB202"
+    remedy = "the client is told by the reply; if it is a program of yours, have its mail library looked at"
+
     def __init__(self, reply: Reply) -> None:
         super().__init__(reply.text)
         self.reply = reply
@@ -162,9 +167,12 @@
         return Reply(code, enhanced, text, told.wait_ms, told.load, tuple(rows[1:]), told.within_ms)
 
 
-class BadReply(ValueError):
+class BadReply(Problem, ValueError):
     """A server's reply breaks the grammar; nothing can be concluded from it."""
 
+    code = "HB203"
+    remedy = "the call counts as lost in doubt; tell the partner, whose server breaks the protocol"
+
 
 # --- commands ---------------------------------------------------------------------------------------
 
--- a/honeybarrow/node/config.py
+++ b/honeybarrow/node/config.py
@@ -8,15 +8,20 @@
 from typing import Any
 
 from honeybarrow import interface as hb
+from honeybarrow.errors import Problem
 from honeybarrow.node.listing import Listing, Place, parse_listing, parse_place
 from honeybarrow.settings import settings_of
 
 CONFIG_MOST = 8 << 20  # bytes of a file that is read at all
 
 
-class ConfigError(ValueError):
+class ConfigError(Problem, ValueError):
     """The configuration can't be used; the text says which part."""
 
+    code = "HB110"
+    remedy = "correct that part of the platform's configuration; a forwarder that runs keeps its old one"
+    status = 2
+
 
 @dataclass(frozen=True, slots=True)
 class Limits:
--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -1,8 +1,8 @@
 """Discovery's watch: opened when the module asks, told item by item, opened anew when it is silent.
 
 What a silent watch misses counts as told 6 s after it fell silent, whether it came or not. So silence is
-noticed at the first beat that is missed, and a new watch opened at once from the version held. Only if that one
-fails does the module hear of it, who decides when to ask again. One watch at a time.
+noticed at the first beat that is missed, and a new watch opened at once from the version held. Only if that
+one fails does the module hear of it, who decides when to ask again. One watch at a time.
 """
 
 from __future__ import annotations
--- a/honeybarrow/node/listing.py
+++ b/honeybarrow/node/listing.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from honeybarrow import interface as hb
+from honeybarrow.errors import Problem
 
 ENTRIES_MOST = 10_000  # of one list
 ITEM_MOST = 4 << 20  # bytes of one item
@@ -32,9 +33,12 @@
     return host, int(port)
 
 
-class ListError(ValueError):
+class ListError(Problem, ValueError):
     """An item of the list can't be read at all."""
 
+    code = "HB301"
+    remedy = "the list held stays in use and is asked for anew; if it goes on, look at discovery"
+
 
 @dataclass(frozen=True, slots=True)
 class Listing:
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -12,6 +12,7 @@
 
 from honeybarrow import collector
 from honeybarrow import interface as hb
+from honeybarrow.errors import explain
 from honeybarrow.forward import Forwarder, Submission
 from honeybarrow.node import signals
 from honeybarrow.node.calls import CallPool
@@ -176,7 +177,7 @@
         try:
             config = read_config(os.environ)
         except ConfigError as error:
-            log.error("reload: %s; the old configuration stays", error)
+            log.error("reload: %s; the old configuration stays", explain(error))
             return
         log.info("reload: discovery at %s:%d", *config.discovery)
         self.discovery.move(config.discovery)
@@ -243,7 +244,7 @@
     try:
         config = read_config(os.environ)
     except ConfigError as error:
-        log.error("honeybarrow.node: %s", error)
+        log.error("honeybarrow.node: %s", explain(error))
         return 2
     from twisted.internet import reactor as own_reactor
 
--- a/honeybarrow/register/client.py
+++ b/honeybarrow/register/client.py
@@ -108,7 +108,7 @@
         try:
             news = self.directory.take(line)
         except ListError as error:
-            self.failed(source, str(error))
+            self.failed(source, f"{error} [{error.code}]")
             return
         self._answered()
         self.log.info("list taken", version=news.version, kind=news.kind.value, endpoints=len(news.endpoints))
--- a/honeybarrow/register/directory.py
+++ b/honeybarrow/register/directory.py
@@ -5,13 +5,18 @@
 import msgspec
 
 from honeybarrow import interface as hb
+from honeybarrow.errors import Problem
 from honeybarrow.reach.territory import Owned
 from honeybarrow.register.schema import LINE_LIMIT, Address, News, Partner, Row
 
 
-class ListError(ValueError):
+class ListError(Problem, ValueError):
     """News that can't be taken; the list held stays as it was."""
 
+    code = "HB302"
+    remedy = "the list held stays in use; correct the register, or remove a saved list that was damaged"
+    status = 2
+
 
 class Directory:
     """Partners by name and number, endpoints by target, and the version they are of."""
--- a/honeybarrow/rehearsal/plot.py
+++ b/honeybarrow/rehearsal/plot.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from honeybarrow.errors import Problem
 from honeybarrow.rehearsal.logbook import Entry
 from honeybarrow.rehearsal.schema import Rehearsal
 from honeybarrow.rehearsal.zones import LOST
@@ -14,9 +15,12 @@
 SHADED = frozenset({"zone_down", "zone_cut", "link_cut", "link_one_way", "link_slow", "link_lossy"})
 
 
-class PlotError(Exception):
+class PlotError(Problem):
     """No picture; the text says why."""
 
+    code = "HB901"
+    remedy = "leave --plot out, or install the development requirements"
+
 
 def plot(entries: Sequence[Entry], scenario: Rehearsal, path: Path) -> None:
     """Write a picture in the format that the name of ``path`` ends in. Raises :class:`PlotError`."""
--- a/honeybarrow/service.py
+++ b/honeybarrow/service.py
@@ -19,6 +19,7 @@
 from honeybarrow.admission.identity import Identity, KnownClient
 from honeybarrow.admission.intake import Intake, IntakeLimits
 from honeybarrow.config.schema import Forwarder as Settings
+from honeybarrow.errors import tell
 from honeybarrow.fleet.agent import Agent, Plan
 from honeybarrow.fleet.membership import Rules as SwimRules
 from honeybarrow.fleet.zones import Rules as ZoneRules
@@ -170,7 +171,7 @@
             try:
                 news = self.directory.take(saved, saved=True)
             except ListError as error:
-                self.log.warning("the saved list can't be taken", why=str(error))
+                self.log.warning("the saved list can't be taken", **tell(error))
         for listen, factory in zip(self.settings.listen, self.fronts, strict=True):
             self.ports.append(self.reactor.listenTCP(listen.port, factory, interface=listen.host))
         if self.agent is not None:
--- a/honeybarrow/settings.py
+++ b/honeybarrow/settings.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 from honeybarrow import interface as hb
+from honeybarrow.errors import Problem
 
 EFFECTS = {"free": hb.Effect.SAFE, "guarded": hb.Effect.KEYED, "single_shot": hb.Effect.UNSAFE}
 WEIGHTS = {"off": hb.Weights.NONE, "nominal": hb.Weights.NOMINAL, "rough": hb.Weights.ROUGH}
@@ -17,9 +18,13 @@
 Value = TypeVar("Value")
 
 
-class SettingsError(ValueError):
+class SettingsError(Problem, ValueError):
     """The settings are not what the library can use; the text names the part."""
 
+    code = "HB112"
+    remedy = "correct the setting named; the wire's page says what each may be"
+    status = 2
+
 
 class Options:
     """A JSON object of the settings, read by path and type; unknown keys are skipped."""
--- a/honeybarrow/tls.py
+++ b/honeybarrow/tls.py
@@ -8,12 +8,18 @@
 from OpenSSL import SSL, crypto
 from twisted.internet.ssl import CertificateOptions, TLSVersion
 
+from honeybarrow.errors import Problem
+
 BEGIN = b"-----BEGIN CERTIFICATE-----"
 
 
-class TlsError(ValueError):
+class TlsError(Problem, ValueError):
     """Files that make no context."""
 
+    code = "HB113"
+    remedy = "put a PEM file there that this user can read, and the key that belongs to the certificate"
+    status = 2
+
 
 def server_context(certificate: Path, key: Path, client_ca: Path | None) -> Any:
     """For STARTTLS: TLS 1.2 at least; client certificates are asked for where ``client_ca`` is given."""
