Pace: the reported room is averaged, so that no sender takes a free moment for a free limit

Cause: decide.py, _learn (lane.room = the last report) and _bounds. A report is of one moment. At 0.95 free, used = limit / senders, so a sender's own part came to nearly the whole limit; its lower bound rose to 0.6 of it, the floor after a refusal to 0.15 of it for each of six, and each success under the bound added 0.3 of it.

Change: the room is averaged with a weight of 0.05, from none free.

--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -130,6 +130,9 @@
 PACE_SPARSE = SECOND / CEILING_US / 2
 PACE_LEAST = 0.05  # calls a second: under it, a destination's recovery would go unseen for too long
 PACE_BURST_S = 0.4  # unused pace that may be saved up
+# Danger: one report is of one moment of a span; taken for the use of the limit, each sender finds nearly all
+# of it free now and then, and all of them raise their paces over it. So reports are averaged, from none free.
+ROOM_WEIGHT = 0.05  # weight of the newest
 LIMIT_BAND = (0.6, 1.3)  # where a limit is known the pace stays this near to this sender's part of it
 ASKED_US = 8_000_000  # over how long a sender's own demand is measured, for its part
 
@@ -262,7 +265,7 @@
     hold_us: int = 0
     listed: float = 0.0
     reported: float = 0.0
-    room: float = 0.0  # share of the limit that was left, as reported
+    room: float = 0.0  # share of the limit that is left, as reported lately
     opens_us: int = NEVER  # when it opens, where it told so as it was shut
     failing_us: int = NEVER  # when the first call was sent of those that failed since the last success
     rest_us: int = 0  # till when this sender stays away after a failure, for others fail alike
@@ -378,8 +381,7 @@
             wait = min(ASK_US[1], ASK_US[0] << min(self.asks, 8))
             if self.settings.ask_within_us:
                 wait = min(wait, self.settings.ask_within_us // 2)
-            if self.asks == 1:
-                self.actions.append(hb.Log("membership lost, asking again"))
+            self.actions += [hb.Log("membership lost, asking again")] * (self.asks == 1)
             self.actions.append(hb.SetTimer(ASK, int(wait * self.rng.uniform(0.7, 1.0))))
             return
         if news.kind is hb.ListKind.SAVED and self.settings.on_request:
@@ -510,14 +512,13 @@
     def _retry(self, message: Message) -> None:
         """After a failure: wait and try again, or stop: floor, then soft cap; the hard cap always."""
         retries = len(message.calls)
-        wait = backoff_us(retries, self.rng)
-        past_aim = self.now + wait > message.born_us + message.kind.aim_us
-        soft = past_aim and retries > self.floors[message.kind.name]
-        hard = self.now + wait > message.last_start_us(self._useful_us(message.home))
+        at = self.now + backoff_us(retries, self.rng)
+        soft = retries > self.floors[message.kind.name] and at > message.born_us + message.kind.aim_us
+        hard = at > message.last_start_us(self._useful_us(message.home))
         if retries >= self.settings.attempt_cap or soft or hard:
             self._answer(message)
             return
-        message.retry_us = self.now + wait
+        message.retry_us = at
         self._hold(message)
         heapq.heappush(self.due, (message.retry_us, message.id))
         self._watch(message)
@@ -528,7 +529,7 @@
         if 0 <= self.limit_field < len(event.load):
             lane.reported = event.load[self.limit_field] or lane.reported
         if 0 <= self.room_field < len(event.load):
-            lane.room = min(1.0, max(0.0, event.load[self.room_field]))
+            lane.room += ROOM_WEIGHT * (min(1.0, max(0.0, event.load[self.room_field])) - lane.room)
         fresh = call.sent_us >= endpoint.ok_us  # nothing sent later has been answered
         endpoint.errors += ERROR_WEIGHT * ((status is hb.Status.ERROR) - endpoint.errors)
         if status in (hb.Status.OK, hb.Status.REJECTED):  # a no for good is about the message: it answers
@@ -642,8 +643,7 @@
         # Danger: where each client has a sender of its own, a busy one is held to an even part of a limit
         # that others leave unused. Where reports tell what all use, its part is its own share of that.
         used = lane.reported * max(1.0 - lane.room, even)
-        told = used > 0 and self.room_field >= 0
-        share = min(1.0, endpoint.home.ask(self.now, 0.0) / used) if told else 0.0
+        share = min(1.0, endpoint.home.ask(self.now, 0.0) / used) if used > 0 <= self.room_field else 0.0
         part = (lane.reported or lane.listed) * max(even, share)
         low, high = part * LIMIT_BAND[0], max(PACE_SPARSE, part * LIMIT_BAND[1])
         return (low, high) if part > 0 else (0.0, float(NEVER))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -880,3 +880,19 @@
 def test_one_loss_on_an_idle_connection_after_many_answers_closes_no_others() -> None:
     # what is closed is closed after the losses themselves
     assert closes_after(100, range(39, 100, 40), hb.Status.RESET, decide.STALE_IDLE_US + 1)[0] <= 4
+
+
+def test_a_report_of_one_moment_moves_no_pace() -> None:
+    # A limit that six senders use up is free for a moment as each of its spans begins. Taken for its use, one
+    # such report let each sender hold its own part to be nearly all of the limit, and all raise their paces.
+    caller = Caller(senders=6, load_fields=("x0", "x1"), weights=hb.Weights.ROUGH)
+    caller.know("a")
+    bounds: list[float] = []
+    for number in range(40):
+        caller.arrive(f"m{number}")
+        caller.wait(200_000)
+        room = 0.95 if number == 39 else 0.1
+        caller.end(f"m{number}", hb.Status.OK, load=(room, 12.0))
+        bounds.append(caller.sender._bounds(caller.sender.endpoints["a"])[1])
+    assert bounds[-2] < 12.0
+    assert bounds[-1] < 1.3 * bounds[-2]
