--- a/honeybarrow/decide.py
+++ b/honeybarrow/decide.py
@@ -131,7 +131,7 @@
 PACE_LEAST = 0.05  # calls a second: under it, a destination's recovery would go unseen for too long
 PACE_BURST_S = 0.4  # unused pace that may be saved up
 # Danger: one report is of one moment of a span; taken for the use of the limit, each sender finds nearly all
-# of it free now and then, and all of them raise their paces over it. So reports are averaged, from none free.
+# of it free now and then, and all of them raise their paces over it. So reports are averaged, from half free.
 ROOM_WEIGHT = 0.05  # weight of the newest
 LIMIT_BAND = (0.6, 1.3)  # where a limit is known the pace stays this near to this sender's part of it
 ASKED_US = 8_000_000  # over how long a sender's own demand is measured, for its part
@@ -265,7 +265,7 @@
     hold_us: int = 0
     listed: float = 0.0
     reported: float = 0.0
-    room: float = 0.0  # share of the limit that is left, as reported lately
+    room: float = 0.5  # share of the limit that is left, as reported lately; half until then
     opens_us: int = NEVER  # when it opens, where it told so as it was shut
     failing_us: int = NEVER  # when the first call was sent of those that failed since the last success
     rest_us: int = 0  # till when this sender stays away after a failure, for others fail alike
