Platform: a class that keeps its order is kept in order, over lives and until notices are taken

Checked: the requests' heads, logged: clients name the key as the second part of the path (/payment/...); no header carries it. Cause: node/desk.py handed every message in with key None, and node/records.py kept none; and to the module a message is over as it ends, to the platform once it has the notice (desk.end, noticed), so the next of its key was written between the two.

The text-to-number rule moved to keys.py, which both fronts use. Tests without the bench: the key is read, one at a time also in the next life, waiting for the notice.

--- a/honeybarrow/front/__init__.py
+++ b/honeybarrow/front/__init__.py
@@ -1,7 +1,7 @@
 """The fronts: what clients talk to. They map a message by rules and enter the core at one place."""
 
 from honeybarrow.front.desk import Desk
-from honeybarrow.front.mapping import Mapper, Properties, Route, Rules, Unmapped, key_number
+from honeybarrow.front.mapping import Mapper, Properties, Route, Rules, Unmapped
 from honeybarrow.front.protocol import FrontFactory, MailFront, reply_of
 from honeybarrow.front.reception import FrontLimits, Reception
 
@@ -16,6 +16,5 @@
     "Route",
     "Rules",
     "Unmapped",
-    "key_number",
     "reply_of",
 ]
--- a/honeybarrow/front/mapping.py
+++ b/honeybarrow/front/mapping.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from honeybarrow import mail
 from honeybarrow.errors import Problem
+from honeybarrow.keys import key_number
 from honeybarrow.mail import Path, Reply
 
 NO_PARTNER = Reply(550, "5.1.2", "no such partner")
@@ -19,7 +19,6 @@
 NO_KEY = Reply(554, "5.6.0", "the order key is missing")
 NO_TENANT = Reply(554, "5.6.0", "the tenant is missing")
 BAD_TIME = Reply(554, "5.6.0", "the time left is no number of milliseconds")
-KEY_BITS = 53  # the module's keys are numbers below 2^53
 
 
 class Unmapped(Problem, ValueError):
@@ -117,11 +116,3 @@
     if source.startswith("header:"):
         return mail.header(content, source.removeprefix("header:"))
     return None
-
-
-def key_number(text: str) -> int:
-    """A key as a number: the same text the same number in each process, others almost surely another.
-
-    Two texts that fall together are kept in order too, which harms nothing but their speed.
-    """
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big") >> (64 - KEY_BITS)
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -39,6 +39,7 @@
     body: bytes
     end_us: int = 0
     effect: Effect = Effect.SAFE
+    order_key: str = ""  # what it is kept in order by, in a class that asks for it
 
 
 def read_load(value: bytes, fields: Sequence[str]) -> tuple[float, ...]:
--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -12,6 +12,7 @@
 from honeybarrow.admission import intake
 from honeybarrow.forward import Answer, Delivered, Failed, Forwarder, Refused, Submission, ignore_cancelled
 from honeybarrow.interface import Effect
+from honeybarrow.keys import key_number
 from honeybarrow.node.calls import Parcel
 from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
 from honeybarrow.node.reports import Reports
@@ -45,6 +46,7 @@
         self.stopping = False
         self.refused: dict[str, int] = {}  # requests not taken, by status and reason
         self._seen: OrderedDict[str, None] = OrderedDict()
+        self._owed: dict[str, dict[str, None]] = {}  # by key of order: messages whose notice is not taken yet
 
     def request(self, request: http.Request, reply: Reply) -> Callable[[], None] | None:
         """Answer a request, at once or once its message is kept; what is returned withdraws it."""
@@ -103,7 +105,8 @@
                 reply(http.encode_response(500), False)
 
         end_us = self.wall_us() + handed.left_us
-        parcel = Parcel(message, handed.idempotency_key, handed.body, end_us, self._effect(handed.class_name))
+        effect, order_key = self._effect(handed.class_name), handed.order_key
+        parcel = Parcel(message, handed.idempotency_key, handed.body, end_us, effect, order_key)
         done = self.core.submit(
             Submission(
                 message,
@@ -112,7 +115,7 @@
                 handed.left_us,
                 parcel,
                 handed.tenant,
-                None,
+                _key(order_key),
                 handed.repeat,
                 accept,
             )
@@ -137,7 +140,8 @@
         taken = step.taken
         effect = self._effect(taken.class_name)
         self._see(taken.message)
-        parcel = Parcel(taken.message, taken.idempotency_key, taken.body, taken.end_us, effect)
+        key = taken.order_key
+        parcel = Parcel(taken.message, taken.idempotency_key, taken.body, taken.end_us, effect, key)
         done = self.core.submit(
             Submission(
                 taken.message,
@@ -146,6 +150,7 @@
                 step.left_us,
                 parcel,
                 taken.tenant,
+                _key(key),
                 resumed=True,
                 attempts=step.attempts,
                 doubt_us=step.doubt_us,
@@ -156,8 +161,22 @@
     def end(self, ending: Ending) -> None:
         """A message ends by a notice, and by that one for good."""
         self.journal.ending(ending)
+        if key := self._order_key(ending.message):
+            self._owed.setdefault(key, {})[ending.message] = None
         self.reports.add(ending)
 
+    def _order_key(self, message: str) -> str:
+        entry = self.journal.ledger.entries.get(message)
+        return entry.taken.order_key if entry is not None else ""
+
+    def settled(self, order_key: str) -> bool:
+        """Whether nothing of this key still has to be told to the platform.
+
+        Danger: to the module a message is over as it ends; to the platform once it has the notice. What is
+        behind it in order, sent between the two, overtakes it.
+        """
+        return order_key not in self._owed
+
     def _ended(self, message: str, answer: Answer) -> None:
         match answer:
             case Delivered():
@@ -171,9 +190,18 @@
     def noticed(self, messages: list[str]) -> None:
         """The platform has taken these notices."""
         for message in messages:
+            key = self._order_key(message)
+            if (owed := self._owed.get(key)) is not None:
+                owed.pop(message, None)
+                if not owed:
+                    del self._owed[key]
             self.journal.over(message)
         self.journal.commit()
 
 
+def _key(order_key: str) -> int | None:
+    return key_number(order_key) if order_key else None
+
+
 def _cancel(done: Deferred[Answer]) -> None:
     done.cancel()
--- a/honeybarrow/node/handing_in.py
+++ b/honeybarrow/node/handing_in.py
@@ -10,6 +10,7 @@
 from honeybarrow.interface import Effect, MessageClass
 
 _ID = re.compile(rb"[\x21-\x2b\x2d-\x7e]{1,128}")  # one word without a comma, which would be two fields
+ORDER_KEY_MOST = 128
 _LEFT = re.compile(rb"([0-9]{1,12})([mu])")
 _CONSIGNEE = re.compile(rb"(?:[a-z_]{1,16}=[^,;]{0,64}[,;] ?)*dest=([0-9]{1,9})(?:[,;].{0,256})?")
 
@@ -26,6 +27,7 @@
     idempotency_key: str
     repeat: bool
     body: bytes
+    order_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
     message = fields.get(b"x-correlation-id", b"")
     if not _ID.fullmatch(message):
         return NotTaken(400, "no id")
-    name = request.path.split("?")[0].split("/")[1]
+    _, name, *rest = request.path.split("?")[0].split("/")
     kind = classes.get(name)
     if kind is None:
         return NotTaken(400, "unknown class")
@@ -67,6 +69,10 @@
         return NotTaken(400, "key can't be read")
     if not key and kind.effect is Effect.KEYED:
         return NotTaken(400, "class needs a key")
+    # The second part of the path, where clients name what a class is to be kept in order by.
+    order_key = rest[0] if rest and kind.keep_order else ""
+    if len(order_key) > ORDER_KEY_MOST:
+        return NotTaken(400, "order key too long")
     return HandedIn(
         message.decode(),
         name,
@@ -76,4 +82,5 @@
         key.decode(),
         bool(fields.get(b"x-repeat")),
         request.body,
+        order_key,
     )
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -185,7 +185,8 @@
 
     def _may_begin(self, submission: Submission) -> bool:
         since = None if self.stopped_us is None else self.now_us() - self.stopped_us
-        return may_begin(self.core.sender.classes[submission.class_name].effect, since)
+        effect = self.core.sender.classes[submission.class_name].effect
+        return may_begin(effect, since) and self.desk.settled(submission.parcel.order_key)
 
     def stop(self) -> None:
         """Serve what is held as long as there is time; what is left is kept for the next life."""
--- a/honeybarrow/node/records.py
+++ b/honeybarrow/node/records.py
@@ -23,7 +23,7 @@
         case Taken():
             r = record
             first = (r.message, r.class_name, r.destination, r.end_us, r.tenant, r.idempotency_key)
-            past = (r.attempts, r.doubt_us, r.out, r.ending)
+            past = (r.attempts, r.doubt_us, r.out, r.ending, r.order_key)
             meta = json.dumps((*first, *past), separators=(",", ":")).encode()
             data = _META.pack(b"T", len(meta)) + meta + r.body
         case Began(message, attempt, at_us):
@@ -65,13 +65,15 @@
             start = _META.size
             _, length = _META.unpack_from(part)
             meta = json.loads(part[start : start + length])
-            message, class_name, destination, end_us, tenant, key, attempts, doubt_us, out, ending = meta
+            message, class_name, destination, end_us, tenant, key, *past = meta
+            attempts, doubt_us, out, ending, *more = past  # one of an earlier build has no key of order
             pairs = tuple((int(number), int(at)) for number, at in out)
             body = part[start + length :]
             return Taken(
                 str(message), str(class_name), int(destination), int(end_us), str(tenant), str(key), body,
                 int(attempts), None if doubt_us is None else int(doubt_us), pairs,
                 None if ending is None else (bool(ending[0]), int(ending[1])),
+                str(more[0]) if more else "",
             )  # fmt: skip
         case b"B":
             _, attempt, at_us = _BEGAN.unpack_from(part)
--- a/honeybarrow/node/store.py
+++ b/honeybarrow/node/store.py
@@ -122,6 +122,7 @@
                 submission.tenant,
                 parcel.idempotency_key,
                 parcel.body,
+                order_key=parcel.order_key,
             )
         )
 
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -31,6 +31,7 @@
     doubt_us: int | None = None
     out: tuple[tuple[int, int], ...] = ()  # attempts that are out, each with the time of its begin
     ending: tuple[bool, int] | None = None  # the answer that its notice tells
+    order_key: str = ""  # of a class that keeps its order
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -67,6 +67,54 @@
     assert isinstance(long, HandedIn) and long.left_us == CLASS_TABLE["note"].deadline_us
 
 
+def test_a_class_that_keeps_its_order_reads_its_key_from_the_path_and_others_do_not() -> None:
+    ordered = read_request(request(path="/step/a1?x", x_service_class="step"), CLASS_TABLE, TENANTS)
+    plain = read_request(request(path="/note/a1"), CLASS_TABLE, TENANTS)
+    none = read_request(request(path="/step", x_service_class="step"), CLASS_TABLE, TENANTS)
+    long = read_request(request(path=f"/step/{'a' * 129}", x_service_class="step"), CLASS_TABLE, TENANTS)
+    assert isinstance(ordered, HandedIn) and ordered.order_key == "a1"
+    assert isinstance(plain, HandedIn) and plain.order_key == ""
+    assert isinstance(none, HandedIn) and none.order_key == ""
+    assert long == NotTaken(400, "order key too long")
+
+
+def test_messages_of_one_key_go_one_at_a_time_also_in_the_next_life(tmp_path: Path) -> None:
+    bench = Bench(tmp_path)
+    client, _ = bench.client()
+    for name in ("m1", "m2"):
+        bench.post(client, name, cls="step", path="/step/a1")
+        bench.clock.advance(0.01)
+    assert len(bench.clock.tcpClients) == 1, "the second waits for the first"
+    bench.target()
+    bench.journal.commit()
+    entries = list(Journal(str(tmp_path), 1_000_000, bench.now).ledger.entries.values())
+    assert [(e.taken.message, e.taken.order_key) for e in entries] == [("m1", "a1"), ("m2", "a1")]
+    again = Bench(tmp_path / "next")
+    for entry in entries:
+        again.desk.resume(Resume(entry.taken, 2 * SECOND, 0, None))
+    again.clock.advance(0.01)
+    assert len(again.clock.tcpClients) == 1
+
+
+def test_what_is_behind_a_message_in_order_waits_until_its_notice_is_taken(tmp_path: Path) -> None:
+    bench = Bench(tmp_path)
+    bench.core.may_begin = lambda submission: bench.desk.settled(submission.parcel.order_key)
+    client, _ = bench.client()
+    bench.post(client, "m1", cls="step", path="/step/a1", left_ms=300)
+    bench.clock.advance(0.01)
+    bench.target()  # it never answers, and m1 ends
+    bench.post(client, "m2", cls="step", path="/step/a1", left_ms=9000)
+
+    def calls() -> int:
+        return sum(each[0] == "127.0.0.1" for each in bench.clock.tcpClients)
+
+    bench.clock.pump([0.05] * 60)
+    assert "m1" in bench.reports.waiting and calls() == 1
+    bench.desk.noticed(["m1"])
+    bench.clock.pump([0.05] * 60)
+    assert calls() == 2
+
+
 @pytest.mark.parametrize(
     "changes",
     [
@@ -311,6 +359,7 @@
     """Front, desk, core and journal on a reactor in memory; targets are connections that a test brings up."""
 
     def __init__(self, folder: Path, most: int = 50, **changes: Any) -> None:
+        folder.mkdir(exist_ok=True)
         self.clock = MemoryReactorClock()
         reactor: Any = self.clock
         self.now = lambda: int(self.clock.seconds() * 1e6)
@@ -352,10 +401,16 @@
         return connection, wire
 
     def post(
-        self, connection: Any, message: str, dest: int = 7, cls: str = "note", left_ms: int = 3000
+        self,
+        connection: Any,
+        message: str,
+        dest: int = 7,
+        cls: str = "note",
+        left_ms: int = 3000,
+        path: str = "",
     ) -> None:
         connection.dataReceived(
-            f"POST /{cls} HTTP/1.1\r\nX-Correlation-Id: {message}\r\nX-Service-Class: {cls}\r\n"
+            f"POST {path or '/' + cls} HTTP/1.1\r\nX-Correlation-Id: {message}\r\nX-Service-Class: {cls}\r\n"
             f"X-Account: acme\r\nX-Time-Left: {left_ms}m\r\nX-Consignee: dest={dest}\r\n"
             f"Idempotency-Key: key\r\nContent-Length: 2\r\n\r\nhi".encode()
         )
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -111,6 +111,7 @@
 RECORDS: list[Record] = [
     Taken("m", "pay", 3, 1 << 50, "täht", "k", bytes(range(256)), 2, 77, ((1, 88),), (True, 5)),
     Taken("n", "note", 3, 5, "", "", b""),
+    Taken("o", "step", 3, 5, "", "", b"", order_key="0000dfaf"),
     Began("m", 3, 1 << 50),
     Ended("m", 3, True),
     Ending("m", True, 500),
