--- a/honeybarrow/agreement/log.py
+++ b/honeybarrow/agreement/log.py
@@ -42,6 +42,7 @@
 VOTERS_MOST = 7
 BATCH_MOST = 64  # entries of one message
 BATCH_OCTETS = 256 << 10
+HELD_MOST = 256  # messages that wait for the disk
 ROUNDS_MOST = 64  # of a leader whose times are remembered
 
 Name = Annotated[str, Meta(max_length=64)]
@@ -923,6 +924,8 @@
     def _reply(self, to: str, message: Message, after: int = 0) -> None:
         """Send, once the save is kept on which the message rests."""
         if after > self._kept:
+            if len(self._held) >= HELD_MOST:  # as lost as any message may be
+                self._held.pop(0)
             self._held.append((after, Send(to, message)))
         else:
             self._actions.append(Send(to, message))
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -139,6 +139,22 @@
     assert agreed.WentBack("b") in told
 
 
+def test_a_fleet_is_begun_once_and_by_one_alone_goes_on_alone() -> None:
+    log = Log("a", 7, 1 << LIFE_BITS, random.Random(1), RULES, Saved(), 0)
+    assert not log.votes and log.due_us == agreed.NEVER
+    actions = log.begin([Voter("a", 7)], "fleet-1")
+    with pytest.raises(NotNow):
+        log.begin([Voter("a", 7)], "fleet-1")
+    log.kept(0, saves(actions)[-1].number)
+    actions = log.wake(log.due_us)
+    assert log.role.value == "candidate", "its own vote counts once it is on disk"
+    actions = log.kept(QUIET, saves(actions)[-1].number)
+    assert log.role.value == "leader" and log.leads(QUIET)
+    applied = log.kept(QUIET, saves(actions)[-1].number)
+    bodies = [each.entry.body for each in applied if isinstance(each, agreed.Apply)]
+    assert bodies == [Voters("fleet-1", (Voter("a", 7),)), Nothing()] and log.ready(QUIET)
+
+
 # --- leading
 
 
@@ -213,6 +229,16 @@
     assert isinstance(answer, Appended) and not answer.ok and answer.term == 2, "of a term that is over"
 
 
+def test_what_waits_for_a_disk_that_stands_still_is_bounded() -> None:
+    log = log_of("c")
+    for number in range(1000):
+        log.received(0, "a", Append(1, number, 1, 1, (Entry(1, Nothing()),), 1))
+    assert len(log._held) == agreed.HELD_MOST
+    late = sent(log.kept(0, 99))
+    assert len(late) == agreed.HELD_MOST and log._held == []
+    assert isinstance(late[-1][1], Appended) and late[-1][1].round == 999
+
+
 def test_a_learner_takes_what_is_committed_from_anyone_and_nothing_else() -> None:
     source = log_of("b", tuple(Entry(1, Command(f"p{i}", b"")) for i in range(200)))
     source.received(0, "a", Append(1, 1, 201, 1, (), 150))
