--- a/honeybarrow/agreement/log.py
+++ b/honeybarrow/agreement/log.py
@@ -42,6 +42,7 @@
 VOTERS_MOST = 7
 BATCH_MOST = 64  # entries of one message
 BATCH_OCTETS = 256 << 10
+LIVES_MOST = 64  # disks whose lives are remembered, of voters and others
 HELD_MOST = 256  # messages that wait for the disk
 ROUNDS_MOST = 64  # of a leader whose times are remembered
 
@@ -340,7 +341,10 @@
     """
 
     def __init__(self) -> None:
-        self._known: dict[tuple[str, int], tuple[int, int]] = {}  # by voter and disk; bounded by the voters
+        self._known: dict[tuple[str, int], tuple[int, int]] = {}  # by voter and disk
+
+    def __len__(self) -> int:
+        return len(self._known)
 
     def holds(self, name: str, seal: Seal) -> bool | None:
         """``None``: it is the word of an earlier life, which says nothing any more."""
@@ -369,7 +373,6 @@
     next: int
     match: int = 0
     heard_us: int = -NEVER  # when the newest round went out that it answered
-    asked_us: int = -NEVER  # when something was last sent
     wall: tuple[int, int] | None = None  # its wall clock, and when that was heard
 
 
@@ -571,6 +574,8 @@
     # elections
 
     def _trusts(self, sender: str, seal: Seal) -> bool:
+        if len(self.lives) >= LIVES_MOST:  # words of many who do not vote
+            self.lives.forget(self.voters)
         holds = self.lives.holds(sender, seal)
         if holds is False:
             self._actions.append(WentBack(sender))
@@ -706,7 +711,6 @@
             self._feed(now, name, self._followers.setdefault(name, _Follower(self.last + 1)))
 
     def _feed(self, now: int, name: str, follower: _Follower) -> None:
-        follower.asked_us = now
         if follower.next < self.first:
             self._actions.append(Send(name, Install(self.term, self._round, self.snapshot)))
             return
--- a/honeybarrow/agreement/store.py
+++ b/honeybarrow/agreement/store.py
@@ -151,6 +151,7 @@
             os.close(self._lock)
             raise
         self._numbers: list[int] = []  # of saves handed in and not told; the reactor's thread alone
+        self._done, self._broken = 0, False
         self._writer: Writer[Save] = Writer(self._write, self._told, self._gave_up)
         self._writer.start()
 
@@ -161,8 +162,9 @@
 
     def save(self, save: Save) -> None:
         """Have it kept; ``kept(number)`` comes later, in the reactor's thread."""
-        self._numbers.append(save.number)
-        self._writer.put(save)
+        if not self._broken:
+            self._numbers.append(save.number)
+            self._writer.put(save)
 
     def counts(self) -> Counts:
         """How the writing stands; from any thread."""
@@ -238,19 +240,20 @@
         self._later(self._tell, count)
 
     def _gave_up(self, error: OSError) -> None:
-        self._later(self._failed, StoreFailed(str(self.folder), error.strerror or str(error)))
+        self._later(self._fail, StoreFailed(str(self.folder), error.strerror or str(error)))
 
     # in the reactor's thread again
 
+    def _fail(self, error: StoreFailed) -> None:
+        self._broken, self._numbers = True, []
+        self._failed(error)
+
     def _tell(self, count: int) -> None:
-        number = 0
         done = count - self._done
         number, self._numbers = self._numbers[done - 1], self._numbers[done:]
         self._done = count
         self._kept(number)
 
-    _done = 0
-
 
 def _write_all(fd: int, data: bytes) -> None:
     view = memoryview(data)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -134,6 +134,9 @@
     lives.forget([Voter("b", 2)])
     assert lives.holds("b", Seal(1, 1 << LIFE_BITS, 0))
     log = leader()
+    for number in range(1000):
+        log.received(2 * QUIET, f"x{number}", AskVote(1, True, 1, 1, SEAL))
+    assert len(log.lives) <= agreed.LIVES_MOST, "words of strangers"
     log.received(2 * QUIET, "b", Appended(2, 1, True, 2, Seal(1, 1 << LIFE_BITS, 50)))
     told = log.received(2 * QUIET, "b", Appended(2, 1, True, 2, Seal(1, 2 << LIFE_BITS, 3)))
     assert agreed.WentBack("b") in told
@@ -445,6 +448,7 @@
     folder.settle()
     assert folder.kept == [1] and [each.code for each in folder.failures] == ["HB513"]
     assert "No space left" in str(folder.failures[0])
+    assert folder.store._numbers == [] and folder.store.counts().put == 2, "nothing waits for a dead disk"
     folder.store.close()
 
 
