Calls: what has come as the time-out fires is heard; connections stay within the descriptors

Cause, read in the code and forced by tests: - A reactor runs timers before sockets, so an answer that lay in the system as its time-out fired was never read (_Call._late): the call ended as in doubt, and an unsafe message that was delivered was given up. - A status line 200 that had come without the rest of its head counted as a time-out there, though the protocol calls it true. - places.share_out reckoned with at most a quarter of the descriptors for calls, while the core goes up to the settings' slots: with 256 descriptors and 100 slots 292 could be asked for, and a connect without a descriptor is taken for a target that is down.

Change: one more round before a call is called late if something has come; 200 in the first line is delivered; the pool closes idle connections for calls and begins none without a descriptor (NOT_SENT, slots taken).

--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -21,7 +21,7 @@
 from honeybarrow.interface import Effect, Status
 from honeybarrow.node.keeping import Keeping
 from honeybarrow.node.listing import Place
-from honeybarrow.node.wire import still_quiet, unwritten, write_now
+from honeybarrow.node.wire import arrived, still_quiet, unwritten, write_now
 from honeybarrow.seams import Clock, Delayed, Network, Permit
 
 SWEEP_S = 0.5  # between looks at kept connections
@@ -168,6 +168,7 @@
         self.connector: Any = None
         self.written = False
         self.begun = False
+        self.looked = False  # at what had come as its time ended
         self.idle_us: int | None = None  # how long its connection had been kept, if it was
         self.timer: Delayed | None = None
 
@@ -246,6 +247,16 @@
             self.written = True
             self.timer = self.pool.clock.callLater(left, self._late)
             return
+        # Danger: timers go before sockets in a round, so an answer may have come in time and not be read yet.
+        if self.begun and connection is not None and not self.looked and arrived(connection.transport):
+            self.looked = True
+            self.timer = self.pool.clock.callLater(0, self._late)
+            return
+        if connection is not None and connection.reader is not None and connection.reader.status == 200:
+            connection.call = None  # its first line is true, whatever of the rest is missing
+            connection.close()
+            self.end(Outcome(Status.OK))
+            return
         if connection is not None:
             connection.call = None
             connection.close()  # Danger: its answer may still come, and would be taken for the next call's
@@ -270,7 +281,7 @@
 
 
 class CallPool:
-    """The connections to all targets. ``idle_most``: how many are kept in all.
+    """The connections to all targets. ``idle_most``: how many are kept in all; ``most``: with those of calls.
 
     ``wanted`` tells whether a target may be sent new work, as far as the list tells at this moment.
     """
@@ -284,8 +295,9 @@
         idle_most: int,
         load_fields: Sequence[str],
         wanted: Callable[[str], bool],
+        most: int = 1 << 30,
     ) -> None:
-        self.network, self.clock = network, clock
+        self.network, self.clock, self.most = network, clock, most
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.idle_s = idle_us / 1e6 * IDLE_SHARE
         self.idle_most, self.load_fields, self.wanted = idle_most, load_fields, wanted
@@ -301,12 +313,27 @@
         self, target: str, places: Sequence[Place], parcel: Parcel, timeout_us: int, permit: Permit
     ) -> Deferred[Outcome]:
         """Carry a parcel to a target; its outcome, exactly one, within the time-out."""
+        place = places[0]
+        kept = self._take(target, place, parcel.effect)
+        # Danger: a connect without a descriptor fails, and would be taken for a sign of a target that's down.
+        if kept is None and not self._make_room():
+            return succeed(Outcome(Status.NOT_SENT, True, why="no descriptor", slots_full=True))
         call = _Call(self, target, parcel, timeout_us, permit)
         self.calls += 1
-        place = places[0]
-        call.start(self._take(target, place, parcel.effect), place)
+        call.start(kept, place)
         return call.done
 
+    def _make_room(self) -> bool:
+        """Whether one more connection may be opened; an idle one goes for it if need be."""
+        while self.calls + self.idle + len(self._ending) >= self.most:
+            if not self._idle:
+                return False
+            self._close_oldest()
+        return True
+
+    def _close_oldest(self) -> None:
+        min((kept[0] for kept in self._idle.values()), key=lambda each: each.since).close()
+
     def _take(self, target: str, place: Place, effect: Effect) -> Connection | None:
         """The connection used last, unless one so old has proven to be worth less than a new one."""
         now = self.clock.seconds()
@@ -330,8 +357,7 @@
         connection.since = self.clock.seconds()
         connection.reader = connection.call = None
         if self.idle >= self.idle_most:
-            oldest = min((kept[0] for kept in self._idle.values()), key=lambda each: each.since)
-            oldest.close()
+            self._close_oldest()
         self._idle.setdefault(connection.target, []).append(connection)
         self.idle += 1
 
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -78,6 +78,7 @@
             shares.idle_targets,
             settings.load_fields,
             self.targets.wanted,
+            shares.targets,
         )
         self.stopped_us: int | None = None
         self.core = Forwarder(
--- a/honeybarrow/node/places.py
+++ b/honeybarrow/node/places.py
@@ -13,6 +13,7 @@
 # Danger: a crowd that asks once and stays counts where clients' connections are dealt out, and those with
 # requests are then kept out, though there is room here. Their requests need a third at most.
 CLIENTS_SHARE = 0.5  # of the descriptors that may be clients' connections
+CLIENTS_LEAST = 16  # connections of clients, however few descriptors there are
 SILENT_S = 2.0  # from connecting to the first whole request: an answer or a close is owed within 3 s
 REQUEST_S = 2.0  # from the first byte of a later request to its last
 MUTE_S = 0.5  # without a word, after which a connection is not expected to bring a request soon
@@ -26,13 +27,16 @@
 
     clients: int
     idle_targets: int
+    targets: int  # those with a call and the idle ones together
 
 
 def share_out(sockets: int, slots: int) -> Shares:
     """The shares of so many descriptors, where ``slots`` calls may be out."""
     idle = max(4, int(sockets * IDLE_TARGETS_SHARE))
-    room = sockets - OWN - idle - min(slots, sockets // 4)
-    return Shares(max(16, min(room, int(sockets * CLIENTS_SHARE))), idle)
+    # More slots than that have to do with the places of idle connections, which make room for calls.
+    targets = min(idle + min(slots, sockets // 4), max(idle, sockets - OWN - CLIENTS_LEAST))
+    room = sockets - OWN - targets
+    return Shares(max(CLIENTS_LEAST, min(room, int(sockets * CLIENTS_SHARE))), idle, targets)
 
 
 class Stage(enum.Enum):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,9 +14,11 @@
 import pytest
 
 from honeybarrow.decide import ASK_US
+from honeybarrow.node import calls as node_calls
 from honeybarrow.node import places
 from honeybarrow.node.discovery import ANSWER_S, TOLD_S
 from honeybarrow.node.main import LEAVE_US
+from honeybarrow.node.wire import still_quiet
 from honeybarrow.recovery import STOP_US
 from tests.crossing import OK, WATCHED, Death, Line, Rig
 from tests.helpers import CLASSES
@@ -331,6 +333,140 @@
     assert rig.notices() == []
 
 
+# --- calls
+
+
+@pytest.mark.parametrize(
+    ("data", "end", "status"),
+    [
+        (b"", "reset", "reset"),
+        (b"HTTP/1.1 20", "end", "reset"),
+        (b"HTTP/1.1 200 OK", "reset", "reset"),
+        (b"HTTP/1.1 200 OK\r\n", "end", "ok"),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", "", "ok"),
+        (b"HTTP/1.1 503 Full\r\nContent-Le", "", "timeout"),
+        (b"HTTP/1.1 503 Full\r\nContent-Le", "end", "reset"),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\nhalf", "end", "reset"),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\nhalf", "", "timeout"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "", "ok"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "", "ok"),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 3000000000\r\n\r\n", "", "reset"),
+        (b"HTTP/1.1 100 Go on\r\n\r\n" * 20, "", "reset"),
+        (b"X: " + b"y" * 9000, "", "reset"),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 9000, "", "ok"),
+    ],
+)
+def test_an_answer_that_breaks_off_says_what_its_first_line_says(
+    rig: Rig, data: bytes, end: str, status: str
+) -> None:
+    rig.post("m1", "pay", left_ms=3000)
+    call = rig.call()
+    call.write(data) if data else None
+    if end == "reset":
+        rig.turn(2)
+        call.reset()
+    elif end == "end":
+        call.own.shutdown(socket.SHUT_WR)
+    rig.until(lambda: rig.node.core.counts.outcomes, 4)
+    assert rig.node.core.counts.outcomes == {status: 1} or status == "ok"
+    rig.until(lambda: rig.node.core.counts.delivered or rig.notices(), 2)
+    assert (rig.node.core.counts.delivered == 1) == (status == "ok")
+    assert rig.calls_of("m1") == 1
+
+
+@pytest.mark.parametrize("size", [1, 7])
+def test_an_answer_in_small_pieces_is_read_and_its_connection_used_again(rig: Rig, size: int) -> None:
+    rig.post("m1")
+    call = rig.call()
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+    for at in range(0, len(answer), size):
+        call.write(answer[at : at + size])
+        rig.turn(1)
+    assert rig.node.core.counts.delivered == 1 and rig.node.pool.idle == 1
+
+
+def test_a_200_and_then_a_reset_is_delivered(rig: Rig) -> None:
+    rig.post("p1", "pay")
+    call = rig.call()
+    call.write(OK)
+    call.own.shutdown(socket.SHUT_RDWR)
+    rig.until(lambda: rig.node.core.counts.delivered == 1)
+    assert rig.notices() == []
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_an_answer_that_comes_in_the_round_of_the_time_out_is_heard(rig: Rig, whole: bool) -> None:
+    rig.post("p1", "pay", left_ms=3000)
+    call = rig.call()
+    connection = next(each.protocol for each in rig.reactor.getReaders() if hasattr(each, "protocol")
+                      and getattr(each.protocol, "call", None) is not None)  # fmt: skip
+    late = connection.call.timer.getTime()
+    call.write(OK if whole else b"HTTP/1.1 200 OK\r\n")
+    rig.t = late + 0.001  # timers come first in a round, then sockets
+    rig.turn(4)
+    assert rig.node.core.counts.outcomes == {"ok": 1} and rig.node.core.counts.delivered == 1
+
+
+@pytest.mark.parametrize(
+    ("when", "how", "calls", "delivered"),
+    [("before the look", "end", 1, 2), ("behind the look", "reset", 1, 2), ("behind the look", "end", 0, 1)],
+)
+def test_an_idle_connection_that_its_target_closes_as_a_call_is_written(
+    rig: Rig, monkeypatch: Any, when: str, how: str, calls: int, delivered: int
+) -> None:
+    """Whether it may have run is told by what the system took, and not guessed."""
+    rig.post("m0")
+    first = rig.call()
+    first.write(OK)
+    rig.until(lambda: rig.node.pool.idle == 1)
+    real = still_quiet
+
+    def end_behind(transport: Any) -> bool:
+        good = real(transport)
+        first.reset() if how == "reset" else first.close()
+        return good
+
+    if when == "before the look":
+        first.close()
+    else:
+        monkeypatch.setattr(node_calls, "still_quiet", end_behind)
+    rig.post("p1", "pay")
+    monkeypatch.undo()
+    if calls:
+        again = rig.call("p1")
+        assert again is not first
+        again.write(OK)
+        rig.until(lambda: rig.node.core.counts.delivered == delivered)
+        assert rig.notices() == []
+        return
+    # The system took all of it, so it may have run; who reads it, nobody can tell.
+    rig.until(lambda: rig.notices())
+    assert rig.notices()[0] == {"message": "p1", "outcome": "given_up"}
+    assert rig.node.core.counts.outcomes == {"ok": 1, "reset": 1}
+
+
+def test_a_connect_that_comes_up_late_is_used_for_nothing(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, connect_timeout_us=1_000_000)
+    listener = rig.target.listener
+    full = [socket.socket() for _ in range(130)]
+    listener.listen(0)
+    for each in full:  # its queue is full, so that connects stay half open
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    rig.post("p1", "pay", left_ms=2500)
+    rig.wait(1.1)
+    assert rig.node.core.counts.outcomes.get("connect_failed", 0) >= 1
+    rig.wait(2.0)
+    assert rig.node.core.open == 0
+    for _ in range(4):
+        rig.turn(3)
+        for line in rig.target.look():
+            assert b"p1" not in line.look()
+    for each in full:
+        each.close()
+    rig.close()
+
+
 # --- discovery
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -205,6 +205,9 @@
     def send(self, data: bytes) -> int:
         raise BlockingIOError
 
+    def recv(self, size: int, flags: int) -> bytes:
+        raise BlockingIOError
+
 
 def test_a_call_carries_the_message_unchanged_and_its_connection_is_used_again() -> None:
     calls = Calls()
@@ -901,10 +904,31 @@
 
 
 def test_descriptors_are_shared_out() -> None:
-    assert share_out(1024, 158) == Shares(clients=512, idle_targets=204)
-    assert share_out(384, 19) == Shares(clients=192, idle_targets=76)
-    assert share_out(64, 3) == Shares(clients=25, idle_targets=12)
-    assert share_out(30, 100) == Shares(clients=16, idle_targets=6)
+    assert share_out(1024, 158) == Shares(clients=512, idle_targets=204, targets=362)
+    assert share_out(384, 19) == Shares(clients=192, idle_targets=76, targets=95)
+    assert share_out(64, 3) == Shares(clients=25, idle_targets=12, targets=15)
+    assert share_out(30, 100) == Shares(clients=16, idle_targets=6, targets=6)
+    for sockets in (64, 256, 384, 1024):  # whatever the settings ask for
+        for slots in (3, 30, 300, 3000):
+            shares = share_out(sockets, slots)
+            assert places.OWN + shares.clients + shares.targets <= sockets
+
+
+def test_calls_have_idle_connections_make_room_and_none_is_begun_without_a_descriptor() -> None:
+    calls = Calls()
+    calls.pool.most = 3
+    for number in range(3):
+        calls.call(f"t{number}")
+    for each in list(calls.clock.tcpClients):
+        connection = each[2].buildProtocol(None)
+        connection.makeConnection(Wire())
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert calls.pool.idle == 3
+    for number in range(3, 7):
+        calls.call(f"t{number}")
+    assert calls.pool.idle == 0 and len(calls.clock.tcpClients) == 6
+    last = calls.outcomes[-1]
+    assert (last.status, last.not_run, last.slots_full) == (Status.NOT_SENT, True, True)
 
 
 def test_who_makes_room_first() -> None:
