--- a/honeybarrow/node/records.py
+++ b/honeybarrow/node/records.py
@@ -23,7 +23,7 @@
         case Taken():
             r = record
             first = (r.message, r.class_name, r.destination, r.end_us, r.tenant, r.idempotency_key)
-            past = (r.attempts, r.doubt_us, r.out, r.ending, r.order_key)
+            past = (r.attempts, r.doubt_us, r.out, r.ending, r.order_key, r.number)
             meta = json.dumps((*first, *past), separators=(",", ":")).encode()
             data = _META.pack(b"T", len(meta)) + meta + r.body
         case Began(message, attempt, at_us):
@@ -66,7 +66,7 @@
             _, length = _META.unpack_from(part)
             meta = json.loads(part[start : start + length])
             message, class_name, destination, end_us, tenant, key, *past = meta
-            attempts, doubt_us, out, ending, *more = past  # one of an earlier build has no key of order
+            attempts, doubt_us, out, ending, *more = past  # earlier builds know no key of order, or no number
             pairs = tuple((int(number), int(at)) for number, at in out)
             body = part[start + length :]
             return Taken(
@@ -74,6 +74,7 @@
                 int(attempts), None if doubt_us is None else int(doubt_us), pairs,
                 None if ending is None else (bool(ending[0]), int(ending[1])),
                 str(more[0]) if more else "",
+                int(more[1]) if len(more) > 1 else 0,
             )  # fmt: skip
         case b"B":
             _, attempt, at_us = _BEGAN.unpack_from(part)
--- a/honeybarrow/node/store.py
+++ b/honeybarrow/node/store.py
@@ -40,6 +40,7 @@
         self._asked = 0  # and what was let in since the last commit
         self._live = 0  # bytes that messages still owed take at most
         self._fd = -1
+        self._numbers = 0  # messages taken so far, by all lives whose records are here
         self._read()
         self._roll()
 
@@ -72,6 +73,7 @@
             self._live -= size_of(message, len(entry.taken.body))
         self.ledger.apply(record)
         if isinstance(record, Taken):
+            self._numbers = max(self._numbers, record.number)
             self._release(message)
             self._homes[message] = number
             self._in.setdefault(number, {})[message] = None
@@ -113,6 +115,7 @@
         if submission.message in self._homes:
             return  # of an earlier life, and kept since
         parcel = submission.parcel
+        self._numbers += 1
         self.record(
             Taken(
                 submission.message,
@@ -123,6 +126,7 @@
                 parcel.idempotency_key,
                 parcel.body,
                 order_key=parcel.order_key,
+                number=self._numbers,
             )
         )
 
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -32,6 +32,7 @@
     out: tuple[tuple[int, int], ...] = ()  # attempts that are out, each with the time of its begin
     ending: tuple[bool, int] | None = None  # the answer that its notice tells
     order_key: str = ""  # of a class that keeps its order
+    number: int = 0  # in the order of taking, over all lives; a copy carried forward keeps its own
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +145,8 @@
 def plan(entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int) -> list[Resume | Ending]:
     """What becomes of each message of an earlier life, in the order of their taking."""
     steps: list[Resume | Ending] = []
-    for entry in entries:
+    # Danger: the journal tells what it copied forward later than what was taken after it.
+    for entry in sorted(entries, key=lambda each: each.taken.number):
         taken, doubt_us = entry.taken, entry.first_doubt_us()
         kind, in_doubt = classes.get(taken.class_name), doubt_us is not None
         if entry.ending is not None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -210,6 +211,34 @@
     assert refused and len(list(tmp_path.iterdir())) < 40
 
 
+def test_what_was_copied_forward_keeps_its_place_in_the_order_over_lives(tmp_path: Path) -> None:
+    """Seen as a fault that was open: a start took the copied message for the one that came last."""
+    journal = open_journal(tmp_path)
+
+    def pass_by(name: str, until: Callable[[], bool]) -> None:
+        for number in range(200):  # taken and over at once, till a segment is copied forward
+            if until():
+                return
+            journal.taken(Sub(f"{name}{number}", bytes(900)))
+            journal.over(f"{name}{number}")
+            journal.commit()
+        raise AssertionError("nothing was copied forward")
+
+    for name in ("first", "second"):
+        journal.taken(Sub(name))
+        journal.commit()
+        size = len(journal._sizes)
+        pass_by(f"after-{name}-", lambda size=size: len(journal._sizes) > size)  # type: ignore[misc]
+    pass_by("on-", lambda: journal._homes["first"] > journal._homes["second"])
+    journal = open_journal(tmp_path)  # another life, which goes on counting
+    assert list(journal.ledger.entries) == ["second", "first"]
+    journal.taken(Sub("third"))
+    journal.commit()
+    entries = open_journal(tmp_path).ledger.entries.values()
+    steps = plan(entries, {"note": hb.MessageClass("note", SECOND, 20 * SECOND)}, SECOND)
+    assert [step.taken.message for step in steps if isinstance(step, Resume)] == ["first", "second", "third"]
+
+
 class Disk:
     """A disk that takes so many more bytes of the journal; ``None``: any number."""
 
