Sites: two variants of the project's own; no customer's names in the program or after a start

Need: another customer's settings where they shouldn't show. Header names can't differ: no page or setting tells them to a forwarder.

Measured: no class, tenant, kind, zone or own header of either stands in the program; one script against two settings that share no name, one process after another on one folder: what was held for a class that is gone ends by given_up and is never sent, and names of the first are refused and logged nowhere.

--- /dev/null
+++ b/tests/test_other_customers.py
@@ -0,0 +1,133 @@
+"""The settings of one customer never show where another is served: neither in the program nor after a start."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import signal
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.platform import TARGET_ANSWER, Platform
+
+ROOT = Path(__file__).parent.parent
+SITES = sorted(ROOT.glob("deploy/sites/*/*.toml"))
+# The names of the platform's protocol, which every site has; the rest of what a site may name is its own.
+PROTOCOL = {
+    "X-Correlation-Id", "X-Service-Class", "X-Account", "X-Time-Left", "X-Consignee", "X-Repeat",
+    "Idempotency-Key", "X-Backend-Load", "X-Line-Busy", "X-Come-Back-Ms",
+}  # fmt: skip
+
+
+def own_names(site: Path) -> set[str]:
+    """Classes, tenants, kinds, zones and headers that this site alone names."""
+    values: dict[str, Any] = tomllib.loads(site.read_text())
+    names = {values["name"], *values["net"]["zones"]}
+    names |= {row["name"] for part in ("class", "tenant", "tier") for row in values.get(part, ())}
+    names |= {kind["name"] for tier in values["tier"] for kind in tier["kind"]}
+    real = site.parent / "real.json"
+    if real.exists():
+        names |= set(json.loads(real.read_text())["h"].values()) - PROTOCOL
+    return names
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.stem)
+def test_no_name_of_a_site_stands_in_the_program(site: Path) -> None:
+    names = own_names(site)
+    assert len(names) >= 8
+    pattern = re.compile("|".join(rf"(?<![\w-]){re.escape(name)}(?![\w-])" for name in names), re.I)
+    files = [*ROOT.glob("honeybarrow/**/*.py"), *ROOT.glob("honeybarrow/**/*.star")]
+    found = {(file.name, match[0]) for file in files for match in pattern.finditer(file.read_text())}
+    assert len(files) > 100 and found == set()
+
+
+def test_the_sites_of_the_project_share_no_class_tenant_or_kind() -> None:
+    seen: set[str] = set()
+    for site in SITES:
+        names = own_names(site) - set(json.loads((site.parent / "real.json").read_text())["h"].values())
+        assert not names & seen, site
+        seen |= names
+    assert len(SITES) >= 2
+
+
+ONE: dict[str, Any] = {
+    "services": [
+        {"name": "tide-note", "aimUs": 3_000_000, "hardLimitUs": 9_000_000, "lateShare": 0.4},
+        {"name": "berth-fee", "aimUs": 2_000_000, "hardLimitUs": 9_000_000, "idempotency": "single_shot"},
+    ],
+    "kinds": ["quay"],
+    "tenants": [{"name": "nordby", "quotaPerS": 5.0}],
+    "familyInfo": {"callSlots": 8},
+    "limits": {"maxOpen": 100, "retryAfter": True, "maxRetryAfterUs": 3_000_000},
+    "membershipMode": "on_request",
+}
+OTHER: dict[str, Any] = {
+    "services": [
+        {
+            "name": "ward-call", "aimUs": 1_500_000, "hardLimitUs": 7_000_000, "idempotency": "guarded",
+            "windowUs": 4_000_000,
+        },
+        {"name": "meal-list", "aimUs": 4_000_000, "hardLimitUs": 6_000_000, "idempotency": "free"},
+    ],
+    "kinds": ["ward"],
+    "tenants": [{"name": "santiago", "quotaPerS": 7.0}],
+    "familyInfo": {"callSlots": 5},
+    "limits": {"maxOpen": 60, "retryAfter": True, "maxRetryAfterUs": 1_000_000},
+    "membershipMode": "on_request",
+}  # fmt: skip
+
+
+async def post(platform: Platform, message: str, cls: str, account: str) -> int:
+    return await platform.ask(
+        f"POST /{cls} HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: {message}\r\nX-Service-Class: {cls}\r\n"
+        f"X-Account: {account}\r\nX-Time-Left: 6000m\r\nX-Consignee: dest=7\r\nIdempotency-Key: k-{message}\r\n"
+        f"Idempotency-Key: k-{message}\r\nContent-Length: 2\r\n\r\n",
+        b"hi",
+    )
+
+
+@pytest.mark.parametrize(("first", "second"), [(ONE, OTHER), (OTHER, ONE)])
+def test_a_folder_of_other_settings_is_answered_and_shows_nowhere(
+    tmp_path: Path, first: dict[str, Any], second: dict[str, Any]
+) -> None:
+    """One script against two customers, in one process after another, with one folder."""
+
+    async def go() -> None:
+        platform = Platform(tmp_path, first)
+        try:
+            await platform.start()
+            old, new = ([row["name"] for row in each["services"]] for each in (first, second))
+            old_account, account = (each["tenants"][0]["name"] for each in (first, second))
+            platform.answer = lambda message: None  # all hang
+            await platform.run()
+            for number, cls in enumerate(old):
+                assert await post(platform, f"m{number}", cls, old_account) == 202
+            await platform.until(lambda: len(platform.calls) == 2)
+            await platform.end(signal.SIGKILL)
+
+            platform.settings = second
+            platform.answer = lambda message: TARGET_ANSWER
+            await platform.run()
+            # What was taken on for a class that there is no more ends by a notice, and is never sent.
+            await platform.until(lambda: len(platform.notices) == 2)
+            given_up = [{"message": f"m{number}", "outcome": "given_up"} for number in (0, 1)]
+            assert sorted(platform.notices, key=str) == given_up and len(platform.calls) == 2
+            for number, cls in enumerate(new):
+                assert await post(platform, f"n{number}", cls, account) == 202
+                assert await post(platform, f"o{number}", cls, old_account) == 400
+                assert await post(platform, f"p{number}", old[number], account) == 400
+            await platform.until(lambda: sorted(platform.delivered) == ["n0", "n1"])
+            log = platform.log().split("of an earlier life")[1]
+            names = [*old, old_account, *first["kinds"]]
+            assert not [name for name in names if name in log]
+            assert await platform.end(signal.SIGTERM) == 0
+            left = b"".join(file.read_bytes() for file in platform.state.iterdir())
+            assert not [name for name in new if name.encode() in left.split(b"n1")[-1]]
+        finally:
+            await platform.close()
+
+    asyncio.run(go())
