--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -1,4 +1,4 @@
-"""The settings of one customer never show where another is served: neither in the program nor after a start."""
+"""The settings of one customer never show where another is served, in the program or after a start."""
 
 from __future__ import annotations
 
@@ -84,7 +84,7 @@
 async def post(platform: Platform, message: str, cls: str, account: str) -> int:
     return await platform.ask(
         f"POST /{cls} HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: {message}\r\nX-Service-Class: {cls}\r\n"
-        f"X-Account: {account}\r\nX-Time-Left: 6000m\r\nX-Consignee: dest=7\r\nIdempotency-Key: k-{message}\r\n"
+        f"X-Account: {account}\r\nX-Time-Left: 6000m\r\nX-Consignee: dest=7\r\n"
         f"Idempotency-Key: k-{message}\r\nContent-Length: 2\r\n\r\n",
         b"hi",
     )
