Calls: a begin is kept right before its first byte; what has long been silent leaves a process that stops

Cause, read in the code: Forwarder._keep wrote the begin of each attempt as it was decided, before its connection was up.

Change: Permit.begin keeps the begin and is asked right before the bytes, on the platform and on mail; what is withheld near the end of the process is thus never kept as begun.

--- a/honeybarrow/forward/core.py
+++ b/honeybarrow/forward/core.py
@@ -125,6 +125,7 @@
 
     core: Forwarder
     held: _Held
+    number: int
     target: str
     until_us: int
 
@@ -140,6 +141,14 @@
             return "the endpoint drains or has told to wait"
         return "" if self.core.may_begin(self.held.submission) else "stopping"
 
+    def begin(self) -> str:
+        # Danger: kept earlier, as its connection is still to come up, a begin says of a call that was never
+        # written that it may have run: the next life would give an unsafe message up untried.
+        if why := self.barred():
+            return why
+        kept = self.core.keeper.began(self.held.submission.message, self.number)
+        return "" if kept else "its begin can't be kept"
+
 
 @dataclass(slots=True)
 class Counts:
@@ -189,7 +198,6 @@
         self._events: list[hb.Event] = []
         self._arrived: list[_Held] = []  # in this turn
         self._kept = True  # what was to be kept in this turn is
-        self._withheld: dict[str, None] = {}  # what may not begin in this turn
         self._turning = False
         self._held: dict[str, _Held] = {}
         self._open = 0
@@ -310,24 +318,12 @@
                 del self._held[message]
 
     def _keep(self, actions: list[hb.Action]) -> None:
-        """Before anything of this turn leaves: what was taken and what begins is kept, then promised."""
+        """Before anything of this turn leaves: what was taken and what ended is kept, then promised."""
         arrived, self._arrived = self._arrived, []
         answered = {a.message: None for a in actions if isinstance(a, hb.HandBack | hb.GiveUp)}
         kept = [held for held in arrived if not held.over and held.submission.message not in answered]
         for held in kept:
             self.keeper.taken(held.submission)
-        numbers: dict[str, int] = {}
-        self._withheld = {}
-        for action in actions:
-            if isinstance(action, hb.Send) and (held_one := self._held.get(action.message)) is not None:
-                number = numbers.get(action.message, held_one.attempts)
-                numbers[action.message] = number + 1
-                # Danger: one that is withheld as the process ends is none. Kept as begun, the next life would
-                # count it, and give up a message that was never sent.
-                if not self.may_begin(held_one.submission):
-                    self._withheld[action.message] = None
-                    continue
-                self.keeper.began(action.message, number)
         self._kept = self.keeper.commit()
         for held in kept:
             if self._kept:
@@ -382,10 +378,9 @@
         held.out += 1
         places = self.places(action.target)
         # Counted from the decision: what has passed since in a long turn is gone.
-        permit = _Permit(self, held, action.target, self._last_us + action.start_us)
+        permit = _Permit(self, held, number, action.target, self._last_us + action.start_us)
         slots_full = self._calls >= self.settings.slots
-        withheld = "stopping" if action.message in self._withheld else permit.barred()
-        why = "no slot" if slots_full else withheld or ("" if places else "no address")
+        why = "no slot" if slots_full else permit.barred() or ("" if places else "no address")
         # Danger: an attempt whose begin is not on disk is taken for one that never was, and repeated.
         if why := why if self._kept else "its begin can't be kept":
             self.log.warning("not sent", message=action.message, attempt=number, target=action.target)
--- a/honeybarrow/forward/pool.py
+++ b/honeybarrow/forward/pool.py
@@ -237,7 +237,7 @@
     def start(self, connection: Connection) -> None:
         """The session is ready: write the transaction."""
         self.way.ready(self.pool.now_us(), connection.number)
-        if why := self.permit.barred():
+        if why := self.permit.begin():
             # Danger: while it was reached the endpoint may have drained or told to wait, and a key's window
             # may have ended: a transaction now would be new work.
             connection.call = None
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -193,7 +193,7 @@
         # Danger: while the connection came up the list may have said that the target leaves, another call may
         # have been told to wait, and a key's window may have ended: a first byte now would break a rule.
         gone = not self.pool.wanted(self.target)
-        if why := "the target is no longer listed" if gone else self.permit.barred():
+        if why := "the target is no longer listed" if gone else self.permit.begin():
             self.end(Outcome(Status.NOT_SENT, True, why=why))
             self.pool.keep(connection)
             return
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -219,6 +219,7 @@
         for each in list(self.connections.values()):
             if each.stage is Stage.SERVED:
                 each.close()
+        self._look_through()
 
     def finish(self) -> None:
         """The process is about to leave: half a request is refused, and all that is not open ends now."""
@@ -240,13 +241,16 @@
         return not self.connections
 
     def _sweep(self) -> None:
+        self._look_through()
+        self.clock.callLater(SWEEP_S, self._sweep)
+
+    def _look_through(self) -> None:
         now = self.clock.seconds()
         for each in list(self.connections.values()):
-            match due(each.stage, each.served, now - each.since):
+            match due(each.stage, each.served, now - each.since, self.desk.stopping):
                 case Due.LEAVE:
                     close_now(each.transport)
                 case Due.REFUSE:
                     each.refuse(408)
                 case Due.CLOSE:
                     each.close()
-        self.clock.callLater(SWEEP_S, self._sweep)
--- a/honeybarrow/node/places.py
+++ b/honeybarrow/node/places.py
@@ -58,13 +58,15 @@
     LEAVE = "leave"  # enough was read away
 
 
-def due(stage: Stage, served: bool, age_s: float) -> Due:
+def due(stage: Stage, served: bool, age_s: float, stopping: bool = False) -> Due:
     """What is due so long after the begin of a stage: for a first request, after the connect."""
     if stage is Stage.ENDING and age_s > LINGER_S:
         return Due.LEAVE
     if stage is Stage.COMING and age_s > (REQUEST_S if served else SILENT_S):
         return Due.REFUSE
-    return Due.CLOSE if stage is Stage.SILENT and age_s > SILENT_S else Due.NOTHING
+    # A process that stops waits only for a first request that must be on its way.
+    silent_s = MUTE_S if stopping else SILENT_S
+    return Due.CLOSE if stage is Stage.SILENT and age_s > silent_s else Due.NOTHING
 
 
 def rank(stage: Stage, served: bool, age_s: float) -> int | None:
--- a/honeybarrow/node/store.py
+++ b/honeybarrow/node/store.py
@@ -130,8 +130,12 @@
             )
         )
 
-    def began(self, message: str, attempt: int) -> None:
+    def began(self, message: str, attempt: int) -> bool:
+        asked = self._asked  # what was let in waits for the turn's own commit
         self.record(Began(message, attempt, self.wall_us()))
+        kept = self.commit()
+        self._asked = asked
+        return kept
 
     def ended(self, message: str, attempt: int, status: Status, not_run: bool) -> None:
         if status is not Status.OK:  # its end is recorded next
--- a/honeybarrow/seams.py
+++ b/honeybarrow/seams.py
@@ -56,6 +56,10 @@
         """Why no byte of the call may be written now; empty if it may."""
         ...
 
+    def begin(self) -> str:
+        """Keep that the call begins, right before its first byte; why it may not, empty if it may."""
+        ...
+
     def left_us(self) -> int:
         """For how long its last byte may still be written, in microseconds; negative if it may not."""
         ...
@@ -121,12 +125,12 @@
     """Keeps what was taken on beyond the process.
 
     ``commit`` writes all that it was told since; if it can't, what was taken since is not kept, and the rest
-    is written with the next one.
+    is written with the next one. ``began`` writes at once, and tells whether it could.
     """
 
     def taken(self, submission: Any) -> None: ...
 
-    def began(self, message: str, attempt: int) -> None: ...
+    def began(self, message: str, attempt: int) -> bool: ...
 
     def ended(self, message: str, attempt: int, status: Status, not_run: bool) -> None: ...
 
@@ -140,7 +144,8 @@
 
     def taken(self, submission: Any) -> None: ...
 
-    def began(self, message: str, attempt: int) -> None: ...
+    def began(self, message: str, attempt: int) -> bool:
+        return True
 
     def ended(self, message: str, attempt: int, status: Status, not_run: bool) -> None: ...
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -42,6 +42,9 @@
     def barred(self) -> str:
         return self.why
 
+    def begin(self) -> str:
+        return self.why
+
     def left_us(self) -> int:
         return self.left
 
