Log: bad input is told with its remedy, each kind at most every ten seconds; names of the field

Need: a line in the log for what can't be used, with a remedy and limited in rate. So far requests that could not be read were a number in the pulse, spoilt answers nothing, and each entry of a spoilt list a line of its own.

Change: node/complaints.py, used by front, desk and calls; of a list's bad entries the first is told and the rest counted.

--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -19,6 +19,7 @@
 from honeybarrow import http
 from honeybarrow.forward import Dial, Outcome
 from honeybarrow.interface import Effect, Status
+from honeybarrow.node.complaints import Complaints
 from honeybarrow.node.keeping import Keeping
 from honeybarrow.node.listing import Place
 from honeybarrow.node.wire import arrived, still_quiet, unwritten, write_now
@@ -124,6 +125,8 @@
                     self.close()
 
     def _broken(self, event: http.Broken) -> None:
+        remedy = "tell the target's owner: what it answers is no HTTP/1.1 within the protocol's bounds"
+        self.pool.complaints.tell("spoilt answer", f"{self.target}: {event.reason}", remedy)
         if event.status == 200:
             self._end(Outcome(Status.OK))
         else:
@@ -304,6 +307,7 @@
         self.calls = 0
         self.connects = 0  # begun since the start
         self.keeping = Keeping()
+        self.complaints = Complaints(clock.seconds)
         self._idle: dict[str, list[Connection]] = {}
         self._ending: dict[Connection, None] = {}  # delivered, and the rest of the answer has not come
         self.idle = 0
--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -14,6 +14,7 @@
 from honeybarrow.interface import Effect
 from honeybarrow.keys import key_number
 from honeybarrow.node.calls import Parcel
+from honeybarrow.node.complaints import Complaints
 from honeybarrow.node.handing_in import HandedIn, NotTaken, read_request
 from honeybarrow.node.reports import Reports
 from honeybarrow.node.store import Journal
@@ -45,6 +46,7 @@
         self.ready = False
         self.stopping = False
         self.leaving = False  # the process ends within this moment: nothing is taken any more
+        self.complaints = Complaints(lambda: wall_us() / 1e6)
         self.refused: dict[str, int] = {}  # requests not taken, by status and reason
         self._seen: OrderedDict[str, None] = OrderedDict()
         self._owed: dict[str, dict[str, None]] = {}  # by key of order: messages whose notice is not taken yet
@@ -64,6 +66,8 @@
         handed = read_request(request, self.core.sender.classes, self.tenants)
         if isinstance(handed, NotTaken):
             self._count(f"{handed.status} {handed.reason}")
+            remedy = "compare the client's request with the settings' classes, tenants and the protocol"
+            self.complaints.tell(f"request not taken: {handed.reason}", request.path[:80], remedy)
             reply(http.encode_response(handed.status, body=handed.reason.encode(), close=True), True)
             return None
         return self._hand_in(handed, reply)
--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -20,6 +20,7 @@
 
 from honeybarrow import http
 from honeybarrow import interface as hb
+from honeybarrow.errors import explain
 from honeybarrow.forward import Dial
 from honeybarrow.node.listing import Items, ListError, Listing
 from honeybarrow.seams import Clock, Delayed, Network
@@ -71,7 +72,7 @@
         try:
             listings = self.items.receive(part)
         except ListError as error:
-            self.discovery.failed(self, str(error))
+            self.discovery.failed(self, explain(error))
             return
         if self.items.signs > before:  # Danger: one that trickles bytes without an end would look alive
             self.discovery.heard(self)
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import http
+from honeybarrow.node.complaints import Complaints
 from honeybarrow.node.places import Due, Stage, due, rank
 from honeybarrow.node.wire import arrived, close_now, half_close, write_now
 from honeybarrow.seams import Clock
@@ -91,6 +92,8 @@
                 return
             if isinstance(event, http.Bad):
                 self.front.bad += 1
+                remedy = "the client has to send what HTTP/1.1 and the protocol's bounds allow"
+                self.front.complaints.tell(f"bad request {event.status}", event.reason, remedy)
                 self.end(http.encode_response(event.status, close=True))
                 return
             self.open = True
@@ -173,6 +176,7 @@
         self.connections: OrderedDict[int, ClientConnection] = OrderedDict()  # least recently answered first
         self.numbers = 0
         self.bad = 0
+        self.complaints = Complaints(clock.seconds)
         self.made_room: dict[str, int] = {}  # connections closed for want of room, by what they were
         clock.callLater(SWEEP_S, self._sweep)
 
@@ -214,14 +218,14 @@
         """A connection is gone."""
         self.connections.pop(connection.number, None)
 
-    def stop(self) -> None:
+    def drain(self) -> None:
         """Close what is between requests. What is open is answered first; what has just connected may ask."""
         for each in list(self.connections.values()):
             if each.stage is Stage.SERVED:
                 each.close()
         self._look_through()
 
-    def finish(self) -> None:
+    def close(self) -> None:
         """The process is about to leave: half a request is refused, and all that is not open ends now."""
         for each in list(self.connections.values()):
             match each.stage:
@@ -236,7 +240,7 @@
         return any(each.stage not in (Stage.SERVED, Stage.ENDING) for each in self.connections.values())
 
     @property
-    def finished(self) -> bool:
+    def closed_all(self) -> bool:
         """Whether nothing is open, and all that came was read away."""
         return not self.connections
 
--- a/honeybarrow/node/listing.py
+++ b/honeybarrow/node/listing.py
@@ -118,15 +118,20 @@
         raise ListError(f"an item of the list has more than {ENTRIES_MOST} entries")
     endpoints: list[hb.Endpoint] = []
     addresses: dict[str, Place] = {}
+    skipped = 0
     for row in rows:
         try:
             endpoint, place = _entry(row)
         except (KeyError, TypeError, ValueError) as error:
-            log.warning("an entry of the list is skipped: %s: %.200r", error, row)
+            skipped += 1
+            if skipped == 1:  # the others are counted: a spoilt list may have thousands
+                log.warning("an entry of the list is skipped: %s: %.200r; look at discovery", error, row)
             continue
         endpoints.append(endpoint)
         if place is not None:
             addresses[endpoint.target] = place
+    if skipped > 1:
+        log.warning("of %d entries of the list %d are skipped", len(rows), skipped)
     return Listing(version, value.get("snapshot") is True, tuple(endpoints), addresses)
 
 
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -24,12 +24,12 @@
 from honeybarrow.node.places import share_out
 from honeybarrow.node.reports import Reports
 from honeybarrow.node.store import Journal
-from honeybarrow.recovery import STOP_US, Resume, may_begin, plan
+from honeybarrow.recovery import STOP_US, Resume, may_begin, replay
 
 DISK_SHARE = 0.8  # of the folder's bound that the journal may take
 PULSE_S = 10.0
 LAG_S = 0.1  # between looks at how late the loop is
-FIRST_LIST_S = 1.8  # for the first list where lists are pushed: a connect whose first SYN is lost needs one
+FIRST_LIST_S = 1.2  # for the first list where lists are pushed: a connect whose first SYN is lost needs 1 s
 STOP_LEAST_S = 0.6  # new connections come for so long after SIGTERM
 LEAVE_US = 150_000  # for the last answers, and for reading away what comes after our half-close
 log = logging.getLogger("honeybarrow.node")
@@ -132,7 +132,7 @@
             self._first.cancel()
         self._first = None
         planned = self._wall_us()
-        steps = plan(list(self.journal.ledger.entries.values()), self.core.sender.classes, planned)
+        steps = replay(list(self.journal.ledger.entries.values()), self.core.sender.classes, planned)
         for step in steps:
             if isinstance(step, Resume):
                 self.desk.resume(step.after(self._wall_us() - planned))
@@ -194,7 +194,7 @@
         """Serve what is held as long as there is time; what is left is kept for the next life."""
         self.stopped_us = self.now_us()
         self.desk.stopping = True
-        self.front.stop()
+        self.front.drain()
         log.info("stopping: held %d, calls %d", self.core.open, self.core.calls)
         self._check_stop()
 
@@ -213,8 +213,8 @@
     def _leave(self, until_us: int) -> None:
         # Danger: a process that ends resets what it has not read, and the answers on it; and what was read
         # in its last round would be neither taken nor refused. So what comes now is refused, and heard out.
-        self.front.finish()
-        if not self.front.finished and self.now_us() < until_us:
+        self.front.close()
+        if not self.front.closed_all and self.now_us() < until_us:
             self.reactor.callLater(0.01, self._leave, until_us)
             return
         log.info("stopped: %d kept for the next life", len(self.journal.ledger.entries))
--- a/honeybarrow/node/store.py
+++ b/honeybarrow/node/store.py
@@ -1,4 +1,4 @@
-"""The journal's files: append-only segments in the folder that lasts.
+"""The journal's files, a write-ahead log: append-only segments in the folder that lasts.
 
 Segments go from the oldest on: a later record never outlives the message that it speaks of. When the files
 come near their bound, the messages still owed in the oldest segment are copied forward, each as one record,
@@ -25,7 +25,7 @@
 
 
 class Journal:
-    """What was taken on and is owed its end, in ``folder``. ``bound``: bytes that its files may take."""
+    """The write-ahead log, in ``folder``, of what is owed its end. ``bound``: bytes of its files at most."""
 
     def __init__(self, folder: str, bound: int, wall_us: Callable[[], int]) -> None:
         self.folder, self.bound, self.wall_us = folder, bound, wall_us
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -142,8 +142,10 @@
         return replace(self, left_us=self.left_us - passed, doubt_us=doubt)
 
 
-def plan(entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int) -> list[Resume | Ending]:
-    """What becomes of each message of an earlier life, in the order of their taking."""
+def replay(
+    entries: Iterable[Entry], classes: Mapping[str, MessageClass], now_us: int
+) -> list[Resume | Ending]:
+    """The log replayed: what becomes of each message of an earlier life, in the order of their taking."""
     steps: list[Resume | Ending] = []
     # Danger: the journal tells what it copied forward later than what was taken after it.
     for entry in sorted(entries, key=lambda each: each.taken.number):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -200,6 +200,28 @@
         assert ended(rig, line) == "end" and line.got.startswith(b"HTTP/1.1 431")
 
 
+def test_bad_input_is_told_with_its_remedy_and_at_a_limited_rate(rig: Rig, caplog: Any) -> None:
+    caplog.set_level("INFO", "honeybarrow.node")
+
+    def bad() -> None:
+        for _ in range(20):
+            one, other = rig.client(), rig.client()
+            one.write(b"noise\r\n\r\n")
+            other.write(rig.request("m1", "nothing-of-ours"))
+            rig.until(lambda one=one, other=other: one.look() and other.look())  # type: ignore[misc]
+            assert one.got.startswith(b"HTTP/1.1 400") and other.got.startswith(b"HTTP/1.1 400")
+
+    def told() -> list[str]:
+        return [line for line in caplog.messages if "bad request" in line or "not taken" in line]
+
+    bad()
+    assert len(told()) == 2 and all("; " in line for line in told())
+    rig.wait(10.5, 0.5)
+    bad()
+    assert len(told()) == 4 and "and 19 more" in told()[-1]
+    assert rig.post("m2").got.startswith(b"HTTP/1.1 202")
+
+
 def test_who_writes_a_byte_at_a_time_is_refused_in_time_and_holds_up_nobody(rig: Rig) -> None:
     slow, whole = rig.client(), rig.request("m1")
     for at in range(len(whole)):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -659,7 +659,7 @@
     busy, wire = bench.client()
     bench.post(busy, "m1")
     bench.desk.stopping = True
-    bench.front.stop()
+    bench.front.drain()
     assert idle.ending and not busy.ending
     bench.clock.advance(0)
     assert status(wire) == b"202" and busy.ending
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -25,7 +25,7 @@
     Resume,
     Taken,
     may_begin,
-    plan,
+    replay,
 )
 from tests.helpers import CLASSES, SECOND
 
@@ -40,7 +40,7 @@
     ledger = Ledger()
     for record in records:
         ledger.apply(record)
-    return plan(ledger.entries.values(), KINDS, now_us)
+    return replay(ledger.entries.values(), KINDS, now_us)
 
 
 def test_an_unsafe_message_in_doubt_is_given_up_and_one_that_has_not_run_goes_on() -> None:
@@ -235,7 +235,7 @@
     journal.taken(Sub("third"))
     journal.commit()
     entries = open_journal(tmp_path).ledger.entries.values()
-    steps = plan(entries, {"note": hb.MessageClass("note", SECOND, 20 * SECOND)}, SECOND)
+    steps = replay(entries, {"note": hb.MessageClass("note", SECOND, 20 * SECOND)}, SECOND)
     assert [step.taken.message for step in steps if isinstance(step, Resume)] == ["first", "second", "third"]
 
 
