--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -228,7 +228,7 @@
         own = party or self.platform
 
         def asked() -> Line | None:
-            lines = [line for line in own.look() if line.look().startswith(b"GET /discovery")]
+            lines = [each for each in own.look() if each.look().startswith(b"GET /") and not each.ended]
             return lines[-1] if lines else None
 
         found: Line = self.until(asked)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -200,6 +200,20 @@
         assert ended(rig, line) == "end" and line.got.startswith(b"HTTP/1.1 431")
 
 
+def test_clients_that_send_much_at_once_and_go_leave_nothing_behind(rig: Rig) -> None:
+    many = b"".join(rig.request(f"x{number}", "nothing-of-ours") for number in range(300))
+    for number in range(20):
+        line = rig.client()
+        line.write(many[: 40_000 + number])
+        rig.turn(1)
+        line.reset() if number % 2 else line.close()
+    good = rig.post("m1", left_ms=9000)
+    assert good.got.startswith(b"HTTP/1.1 202")
+    rig.wait(places.SILENT_S + places.LINGER_S + 0.5)
+    assert len(rig.node.front.connections) <= 1 and rig.node.core.open == 1
+    assert rig.node.desk.refused["400 unknown class"] < 300  # who is gone is not gone through to the end
+
+
 def test_bad_input_is_told_with_its_remedy_and_at_a_limited_rate(rig: Rig, caplog: Any) -> None:
     caplog.set_level("INFO", "honeybarrow.node")
 
@@ -534,6 +548,21 @@
     assert rig.node.core.counts.delivered == 1 and rig.node.pool.idle == 1
 
 
+@pytest.mark.parametrize("later_s", [0.0, 0.9])
+def test_a_reset_under_a_call_that_has_begun_leaves_it_in_doubt_however_late(
+    rig: Rig, later_s: float
+) -> None:
+    rig.post("p1", "pay", left_ms=6000)
+    rig.post("n1", "note", left_ms=6000)
+    calls = [rig.call("p1"), rig.call("n1")]
+    rig.wait(later_s)
+    for call in calls:
+        call.reset()
+    rig.until(lambda: rig.notices())
+    assert rig.notices() == [{"message": "p1", "outcome": "given_up"}] and rig.calls_of("p1") == 1
+    rig.until(lambda: rig.calls_of("n1") == 2)  # what may be repeated goes on
+
+
 def test_a_200_and_then_a_reset_is_delivered(rig: Rig) -> None:
     rig.post("p1", "pay")
     call = rig.call()
@@ -639,6 +668,17 @@
     assert b"index=41 " in rig.watch().got and rig.node.targets.wanted("s1")
 
 
+def test_a_watch_that_falls_silent_again_and_again_is_opened_anew_each_time(rig: Rig) -> None:
+    for number in range(5):
+        watch, many = rig.watch(), len(rig.platform.came)
+        rig.tell(watch, 41 + number, "leaving" if number % 2 else "active")
+        silent = rig.t
+        rig.until(lambda many=many: len(rig.platform.look()) > many, 3.5)  # type: ignore[misc]
+        assert rig.t - silent < 3.0
+        assert rig.node.targets.wanted("s1") is (number % 2 == 0)
+    assert rig.node.discovery.version == 45
+
+
 @pytest.mark.parametrize("how", ["503", "refused", "hangs", "cut", "closed", "noise", "endless head"])
 def test_after_any_failed_call_a_change_is_heard_within_six_seconds_of_being_reachable(
     rig: Rig, how: str
