--- a/honeybarrow/node/desk.py
+++ b/honeybarrow/node/desk.py
@@ -67,7 +67,8 @@
         if isinstance(handed, NotTaken):
             self._count(f"{handed.status} {handed.reason}")
             remedy = "compare the client's request with the settings' classes, tenants and the protocol"
-            self.complaints.tell(f"request not taken: {handed.reason}", request.path[:80], remedy)
+            # What a client names stays out: it may be another customer's.
+            self.complaints.tell(f"request not taken: {handed.reason}", str(handed.status), remedy)
             reply(http.encode_response(handed.status, body=handed.reason.encode(), close=True), True)
             return None
         return self._hand_in(handed, reply)
