Log of single messages with a fault, both clocks on each line, steps of the wall clock

Change: node/message_event_log (id, attempt, endpoint, incarnation, states, reason, time left; each event at 20 lines a second at most), log_format (wall and monotonic time on each line), clock_monitor (a line when they part by 100 ms), retries of notifications, exceptions that Twisted catches. The test that nothing is logged for single messages is replaced by one that holds the lines of a failed message and that a plain delivery has none: the design now asks for these lines. Behaviour of calls and answers is unchanged.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -13,6 +13,7 @@
 from honeybarrow.delivery.results import DeliveryResult
 from honeybarrow.delivery.submission import DeliveryContext, Submission
 from honeybarrow.events import AttemptFinished, AttemptStatus
+from honeybarrow.message_state import MessageState
 
 
 @dataclass(slots=True)
@@ -30,6 +31,21 @@
     is_ambiguous: bool = False  # an attempt that has ended may have run
     last_outcome: AttemptOutcome | None = None
 
+    @property
+    def state(self) -> MessageState:
+        """State of the message, for the log."""
+        if self.is_completed:
+            return MessageState.ENDING
+        if self.attempts_in_flight:
+            return MessageState.IN_FLIGHT
+        if self.is_ambiguous:
+            return MessageState.AMBIGUOUS
+        return MessageState.WAITING if self.attempts else MessageState.ACCEPTED
+
+    def time_left_us(self, now_us: int) -> int:
+        """Return the time until its result is due; negative if that has passed."""
+        return self.submission.time_left_us - (now_us - self.submitted_us)
+
 
 @dataclass(frozen=True, slots=True)
 class MessagePermit:
@@ -92,7 +108,11 @@
         # Danger: an attempt whose start is not on disk is taken for one that never was, and repeated.
         if reason := reason if is_logged else "its begin can't be kept":
             context.log.warning(
-                "attempt_not_sent", message=action.message, attempt=attempt, target=action.target
+                "attempt_not_sent",
+                message=action.message,
+                attempt=attempt,
+                target=action.target,
+                reason=reason,
             )
             outcome = AttemptOutcome(AttemptStatus.NOT_SENT, True, reason=reason, no_slot_free=no_slot_free)
             self._record_outcome(message, attempt, action.target, context.now_us(), outcome)
@@ -132,6 +152,7 @@
         self, message: InFlightMessage, attempt: int, target: str, started_us: int, outcome: AttemptOutcome
     ) -> None:
         context, name = self.context, message.submission.message
+        state_before = message.state
         message.attempts_in_flight -= 1
         message.last_outcome = outcome
         message.is_ambiguous |= outcome.status is not AttemptStatus.OK and not outcome.not_run
@@ -151,6 +172,10 @@
             retry_after_us=outcome.retry_after_us,
             code=outcome.reply.code if outcome.reply else None,
             reason=outcome.reason,
+            elapsed_us=elapsed_us,
+            state_before=state_before.value,
+            state_after=message.state.value,
+            time_left_us=message.time_left_us(context.now_us()),
         )
         if outcome.retry_after_us > 0:
             context.backing_off_destinations.add(message.submission.destination)
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -287,12 +287,13 @@
         """Give the final result; nothing else does."""
         if message.is_completed:
             return
+        state_before = message.state
         message.is_completed = True
         self._open_count -= 1
         self.counters.count_result(result)
         name = message.submission.message
-        elapsed_us = self.now_us() - message.submitted_us
-        left_us = message.submission.time_left_us - elapsed_us
+        now_us = self.now_us()
+        elapsed_us, left_us = now_us - message.submitted_us, message.time_left_us(now_us)
         self.context.observer.message_completed(
             name, result.label, elapsed_us, message.time_in_calls_us, left_us
         )
@@ -302,6 +303,8 @@
             attempts=message.attempts,
             elapsed_us=elapsed_us,
             time_in_calls_us=message.time_in_calls_us,
+            time_left_us=left_us,
+            state_before=state_before.value,
             **({"reason": result.reason} if not isinstance(result, Delivered) else {}),
         )
         self._schedule_removal(message)
@@ -313,17 +316,23 @@
         message = self._messages.get(name)
         if message is None or message.is_completed:
             return
+        state_before = message.state
         message.is_completed = message.is_withdrawn = True
         self._open_count -= 1
         self.counters.withdrawn += 1
-        elapsed_us = self.now_us() - message.submitted_us
-        left_us = message.submission.time_left_us - elapsed_us
+        now_us = self.now_us()
+        elapsed_us, left_us = now_us - message.submitted_us, message.time_left_us(now_us)
         self.context.observer.message_completed(
             name, "withdrawn", elapsed_us, message.time_in_calls_us, left_us
         )
         in_flight = message.attempts_in_flight
         self.log.info(
-            "message_withdrawn", message=name, attempts=message.attempts, attempts_in_flight=in_flight
+            "message_withdrawn",
+            message=name,
+            attempts=message.attempts,
+            attempts_in_flight=in_flight,
+            time_left_us=left_us,
+            state_before=state_before.value,
         )
         self._schedule_removal(message)
         self._queue_event(MessageExpired(name))
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -6,8 +6,11 @@
 from typing import Any
 
 from honeybarrow.delivery import Forwarder
+from honeybarrow.events import AttemptStatus
 from honeybarrow.node.calls import HttpConnectionPool
+from honeybarrow.node.clock_monitor import ClockMonitor
 from honeybarrow.node.front import Front
+from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.submission import SubmissionService
 from honeybarrow.node.write_ahead_log import WriteAheadLog
@@ -15,34 +18,35 @@
 
 STATUS_INTERVAL_S = 10.0
 LAG_CHECK_INTERVAL_S = 0.1  # between two measurements of how late the reactor is
+_OPTIONAL_FIELDS = frozenset(("code", "retry_after_us", "reason"))
 log = logging.getLogger("honeybarrow.node")
 
 
 class EventLog:
-    """The core's logger on the standard library's. Events of single messages are not written."""
-
-    PER_MESSAGE_EVENTS = frozenset(
-        (
-            "message_delivered",
-            "message_refused",
-            "message_failed",
-            "message_withdrawn",
-            "message_rejected",
-            "attempt_not_sent",
-        )
-    )
+    """The core's logger on the standard library's; events of single messages go to ``message_events``."""
+
+    def __init__(self, message_events: MessageEventLog) -> None:
+        self.message_events = message_events
 
     def debug(self, event: str, **fields: Any) -> None:
-        """Write nothing."""
+        """Write the end of an attempt that failed, and nothing else."""
+        if event == "attempt_finished" and fields["status"] != AttemptStatus.OK.value:
+            self.message_events.write("attempt_failed", **_without_defaults(fields))
 
     def info(self, event: str, **fields: Any) -> None:
-        """Write an event that is not of a single message."""
-        if event not in self.PER_MESSAGE_EVENTS:
+        """Write an event, but none of a message that was delivered at its first attempt."""
+        if event == "message_delivered" and fields["attempts"] <= 1:
+            return
+        if "message" in fields:
+            self.message_events.write(event, **_without_defaults(fields))
+        else:
             log.info("%s %s", event, fields)
 
     def warning(self, event: str, **fields: Any) -> None:
-        """Write an event that is not of a single message."""
-        if event not in self.PER_MESSAGE_EVENTS:
+        """Write an event."""
+        if "message" in fields:
+            self.message_events.write(event, **_without_defaults(fields))
+        else:
             log.warning("%s %s", event, fields)
 
     def error(self, event: str, **fields: Any) -> None:
@@ -50,6 +54,11 @@
         log.error("%s %s", event, fields)
 
 
+def _without_defaults(fields: dict[str, Any]) -> dict[str, Any]:
+    """Leave out what has nothing to say: no code, no wait, no reason."""
+    return {name: value for name, value in fields.items() if name not in _OPTIONAL_FIELDS or value}
+
+
 class StatusLog:
     """Writes a line of counters every ten seconds, with the worst lateness of the reactor since the last."""
 
@@ -62,7 +71,9 @@
         submissions: SubmissionService,
         notifications: NotificationSender,
         write_ahead_log: WriteAheadLog,
+        clock_monitor: ClockMonitor,
     ) -> None:
+        self.clock_monitor = clock_monitor
         self.clock, self.forwarder, self.pool, self.front = clock, forwarder, pool, front
         self.submissions, self.notifications, self.write_ahead_log = (
             submissions,
@@ -82,6 +93,7 @@
         now = self.clock.seconds()
         self._max_lag_s = max(self._max_lag_s, now - self._lag_checked_at_s - LAG_CHECK_INTERVAL_S)
         self._lag_checked_at_s = now
+        self.clock_monitor.check()
         self.clock.callLater(LAG_CHECK_INTERVAL_S, self._check_lag)
 
     def _log_status(self) -> None:
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -8,10 +8,13 @@
 import time
 from typing import Any
 
+from twisted.logger import globalLogPublisher
+
 from honeybarrow import gc_tuning
 from honeybarrow.errors import format_error
 from honeybarrow.node import signals
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
+from honeybarrow.node.log_format import TwoClockFormatter
 from honeybarrow.node.process import ForwarderProcess
 
 CONFIG_ERROR_STATUS = 2
@@ -21,8 +24,7 @@
 
 def main() -> int:
     """Run one forwarder until SIGTERM; return the exit status."""
-    line_format = "%(asctime)s.%(msecs)03d %(message)s"
-    logging.basicConfig(stream=sys.stdout, level=logging.INFO, format=line_format, datefmt="%H:%M:%S")
+    _configure_logging()
     try:
         config = read_config(os.environ)
     except ConfigError as error:
@@ -31,6 +33,19 @@
     return FAILURE_STATUS if _run(config) else 0
 
 
+def _configure_logging() -> None:
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(TwoClockFormatter())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
+def _log_reactor_failure(event: dict[str, Any]) -> None:
+    """Log what Twisted caught: an exception of a protocol or timer, after which the reactor goes on."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        log.error("reactor_failure %s", failure.getTraceback())
+
+
 def _log_config_error(error: ConfigError) -> None:
     log.error("honeybarrow.node: %s", format_error(error))
 
@@ -39,6 +54,8 @@
     """Run until the reactor stops; return the errors of the policy, which end the process."""
     from twisted.internet import reactor as own_reactor
 
+    publisher: Any = globalLogPublisher
+    publisher.addObserver(_log_reactor_failure)
     reactor: Any = own_reactor
     failures: list[Exception] = []
 
--- a/honeybarrow/node/notifications.py
+++ b/honeybarrow/node/notifications.py
@@ -160,7 +160,7 @@
         if status != 204:
             log.warning("notification_rejected status=%d", status)
             connection.transport.abortConnection()
-            self._schedule_retry()
+            self._schedule_retry("rejected", connection.batch)
             return
         for message in connection.batch:
             self.unacknowledged.pop(message, None)
@@ -179,7 +179,7 @@
         if connection is self._active:
             self._active = None
             self._clear_timer()
-            self._schedule_retry()
+            self._schedule_retry("connection_lost", connection.batch)
 
     def _on_answer_timeout(self, connection: _NotificationConnection) -> None:
         self._timer = None
@@ -188,9 +188,14 @@
             if connection.transport is not None:
                 connection.transport.abortConnection()
             self._answer_timeout_s = min(MAX_ANSWER_TIMEOUT_S, self._answer_timeout_s * 2)
-            self._schedule_retry()
+            self._schedule_retry("no_answer", connection.batch)
 
-    def _schedule_retry(self) -> None:
+    def _schedule_retry(self, reason: str, batch: list[str]) -> None:
         if self.unacknowledged:
+            log.info(
+                "notification_retried reason=%s first_id=%s batch=%d pending=%d retry_in_ms=%d",
+                reason, batch[0] if batch else None, len(batch), len(self.unacknowledged),
+                self._retry_delay_s * 1000,
+            )  # fmt: skip
             self._timer = self.clock.callLater(self._retry_delay_s, self._send_batch)
             self._retry_delay_s = min(MAX_RETRY_DELAY_S, self._retry_delay_s * 2)
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -12,18 +12,20 @@
 from honeybarrow.errors import format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
 from honeybarrow.node.calls import HttpConnectionPool
+from honeybarrow.node.clock_monitor import ClockMonitor
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
 from honeybarrow.node.descriptor_budget import DescriptorBudget, allocate_descriptors
 from honeybarrow.node.discovery import Discovery
 from honeybarrow.node.endpoint_list import EndpointList, EndpointTable
 from honeybarrow.node.event_log import EventLog, StatusLog
 from honeybarrow.node.front import Front
+from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.shutdown import GracefulShutdown
 from honeybarrow.node.signals import SignalRequest
 from honeybarrow.node.submission import SubmissionService
 from honeybarrow.node.write_ahead_log import WriteAheadLog
-from honeybarrow.recovery import ResumedMessage, may_start_attempt, plan_recovery
+from honeybarrow.recovery import FinalResult, ResumedMessage, may_start_attempt, plan_recovery
 
 MAX_LOG_DISK_SHARE = 0.8  # of the state folder's bound, for the write-ahead log
 # For the first list where lists are pushed: a connect whose first SYN is lost needs 1 s.
@@ -51,6 +53,8 @@
         self._clock_us, self._wall_clock_us, self._on_failure = clock_us, wall_clock_us, on_failure
         budget = allocate_descriptors(config.limits.descriptors, config.settings.slots)
         self.write_ahead_log = self._build_write_ahead_log()
+        incarnation = str(self.write_ahead_log.incarnation)
+        self.message_events = MessageEventLog(reactor.seconds, incarnation)
         self.endpoints = EndpointTable()
         self.pool = self._build_pool(budget)
         self.forwarder = self._build_forwarder()
@@ -91,7 +95,7 @@
             self.pool,
             self.endpoints.addresses_of,
             lambda: self.discovery.subscribe(),
-            EventLog(),
+            EventLog(self.message_events),
             self._on_failure,
             message_log=self.write_ahead_log,
             can_begin=self._may_start_attempt,
@@ -148,6 +152,7 @@
             self.submissions,
             self.notifications,
             self.write_ahead_log,
+            ClockMonitor(self._clock_us, self._wall_clock_us),
         )
 
     # start
@@ -177,18 +182,37 @@
         steps = plan_recovery(pending, self.forwarder.sender.classes, planned_us)
         for step in steps:
             if isinstance(step, ResumedMessage):
-                self.submissions.resume_message(step.delayed_by(self._wall_clock_us() - planned_us))
+                self._resume(step.delayed_by(self._wall_clock_us() - planned_us))
             else:
-                self.submissions.notify_result(step)
+                self._notify_recovered(step)
         resumed = sum(isinstance(step, ResumedMessage) for step in steps)
         if steps:
             log.info("recovery_planned resumed=%d notified=%d", resumed, len(steps) - resumed)
         self.reactor.callLater(0, self._become_ready)
 
+    def _resume(self, resumed: ResumedMessage) -> None:
+        self.message_events.write(
+            "message_resumed",
+            resumed.accepted.message,
+            attempts=resumed.attempt_count,
+            ambiguous_age_us=resumed.ambiguous_age_us,
+            time_left_us=resumed.time_left_us,
+        )
+        self.submissions.resume_message(resumed)
+
+    def _notify_recovered(self, result: FinalResult) -> None:
+        self.message_events.write(
+            "message_ended_at_start", result.message, outcome="returned" if result.is_returned else "failed"
+        )
+        self.submissions.notify_result(result)
+
     def _become_ready(self) -> None:
         self.submissions.is_ready = True
         settings = self.config.settings
-        log.info("ready name=%s address=%s:%d", self.config.name, *self.config.listen_address)
+        log.info(
+            "ready name=%s address=%s:%d incarnation=%s",
+            self.config.name, *self.config.listen_address, self.message_events.incarnation,
+        )  # fmt: skip
         log.info(
             "settings slots=%d max_open=%d descriptors=%d client_connections=%d idle_timeout_s=%.1f "
             "connect_timeout_s=%.1f senders=%d",
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -57,6 +57,12 @@
         self._last_sequence_number = 0  # messages accepted so far, by all processes whose records are here
         self._read_segments()
         self._open_next_segment()
+        self._first_segment = next(reversed(self._segment_bytes))
+
+    @property
+    def incarnation(self) -> int:
+        """A number of this process that no other process that used the folder has had: its first segment."""
+        return self._first_segment
 
     # reading
 
