--- a/tests/platform.py
+++ b/tests/platform.py
@@ -56,6 +56,7 @@
         self.listen = "127.0.0.1:0"
         self.discovery_name = "first"
         self.is_discovery_silent = False  # discovery accepts connections and never answers
+        self.environment: dict[str, str] = {}  # of the forwarder, besides its own
 
     async def serve(self, name: str, handler: Callable[..., Any]) -> None:
         """Listen for one peer."""
@@ -148,6 +149,7 @@
             **os.environ,
             "ROUTER_CONFIG": str(self.folder / "config.json"),
             "ROUTER_STATE": str(self.state),
+            **self.environment,
         }
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
