--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -24,7 +24,6 @@
 from collections import Counter
 from typing import Any
 
-from twisted.internet import reactor as chosen
 from twisted.internet.protocol import Factory, Protocol
 
 from benchmarks.ordinary_path import Quiet
@@ -35,9 +34,10 @@
 from honeybarrow.events import AttemptStatus, Endpoint, EndpointState, MembershipUpdate, UpdateKind
 from honeybarrow.gc_tuning import reduce_gc_frequency
 from honeybarrow.mail import Reply
+from honeybarrow.reactor import get_reactor
 from honeybarrow.settings import DestinationKind, Idempotency, MessageClass, Settings
 
-reactor: Any = chosen
+reactor = get_reactor()
 WAYS = ("healthy", "refuse", "hole", "mute", "hello", "mail", "data", "dot", "cut", "flap", "full")
 SERVICE_S = 0.02
 AIM_S, DEADLINE_S = 2.0, 8.0
--- a/benchmarks/load_front.py
+++ b/benchmarks/load_front.py
@@ -19,16 +19,16 @@
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
-from twisted.internet import reactor as chosen
 from twisted.internet.protocol import Factory, Protocol
 
 from honeybarrow import config, mail
 from honeybarrow.client import Client, ClientLimits, Delivered
 from honeybarrow.config.schema import ForwarderConfig as Settings
+from honeybarrow.reactor import get_reactor
 from honeybarrow.register import EndpointAddress, EndpointEntry, ListUpdate, Partner
 from honeybarrow.service import Service
 
-reactor: Any = chosen
+reactor = get_reactor()
 AIM_S = 4.0
 SCRIPT = """
 one = forwarder("load.example", classes = [
--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -18,7 +18,6 @@
 from typing import Any
 
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
-from twisted.internet import reactor as chosen
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from honeybarrow import config, mail
@@ -28,12 +27,13 @@
 from honeybarrow.events import AttemptStatus
 from honeybarrow.metrics import Metrics
 from honeybarrow.observer_fanout import ObserverFanout
+from honeybarrow.reactor import get_reactor
 from honeybarrow.register import EndpointAddress, EndpointEntry, ListUpdate, Partner
 from honeybarrow.service import Service
 from honeybarrow.tracing import MessageTracer
 from tests.helpers import FakePermit
 
-reactor: Any = chosen
+reactor = get_reactor()
 SCRIPT = """
 one = forwarder("bench.example", classes = [message_class("note", aim = "5s", deadline = "30s")],
     register = register(port = 1), listen = [listen("smtp", port = 0)], slots = 64, max_open = 5000,
--- a/honeybarrow/cli/launch.py
+++ b/honeybarrow/cli/launch.py
@@ -13,7 +13,6 @@
 from typing import Any
 
 import click
-from twisted.internet import reactor as chosen
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.error import CannotListenError, ProcessExitedAlready
 from twisted.internet.protocol import ClientFactory, ProcessProtocol, Protocol
@@ -21,6 +20,7 @@
 
 from honeybarrow.cli.lab import draw_plot
 from honeybarrow.config.schema import ForwarderConfig
+from honeybarrow.reactor import get_reactor
 from honeybarrow.rehearsal import EventLog, RuleCheckResult, Scenario, ScenarioRunner, format_report
 from honeybarrow.rehearsal.fault_injection import LinkCondition, LinkRelays
 
@@ -28,7 +28,7 @@
 POLL_INTERVAL_S = 0.1
 STOP_TIMEOUT_S = 40.0
 
-reactor: Any = chosen
+reactor = get_reactor()
 
 
 class ForwarderChild(ProcessProtocol):
--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -85,13 +85,13 @@
     """Run the partners and the register of a scenario FILE until SIGTERM; its troubles come as it says."""
     scenario, forwarders = read_scenario(file)
     log = configure_logging(log_format == "json", log_level, stand_ins=scenario.name)
-    from twisted.internet import reactor as chosen
     from twisted.internet.error import CannotListenError
 
+    from honeybarrow.cli.run import monotonic_us
+    from honeybarrow.reactor import get_reactor
     from honeybarrow.rehearsal import EventLog, StandInEnvironment
 
-    reactor: Any = chosen
-    from honeybarrow.cli.run import monotonic_us
+    reactor = get_reactor()
 
     event_log = EventLog(
         monotonic_us,
--- a/honeybarrow/cli/run.py
+++ b/honeybarrow/cli/run.py
@@ -22,18 +22,14 @@
     """One forwarder's service on the reactor of this process."""
 
     def __init__(self, settings: schema.ForwarderConfig, log: Any) -> None:
-        from twisted.internet import reactor as chosen
-
+        from honeybarrow.reactor import get_reactor
         from honeybarrow.service import Service, StateStorage
 
-        reactor: Any = chosen
-        self.reactor = reactor
+        self.reactor = get_reactor()
         self.log = log
         self.exit_status = 0
         saved_list = _path(settings.register.saved_list)
         verdicts = _path(settings.fleet.saved_verdicts) if settings.fleet else None
-        # Danger: the reactor's own clock is the system's; set back, it would hold every timer up.
-        reactor.seconds = time.monotonic
         tls, password = read_secrets(settings, self.reactor)
         self.spans = open_tracer(settings)
         self.service = Service(
--- a/honeybarrow/cli/send.py
+++ b/honeybarrow/cli/send.py
@@ -5,17 +5,16 @@
 import re
 import socket
 from collections.abc import Sequence
-from typing import Any
 
 import click
-from twisted.internet import reactor as chosen
 
 from honeybarrow import mail
 from honeybarrow.client import Client, ClientLimits, Delivered, Failed, FinalResult, Refused
+from honeybarrow.reactor import get_reactor
 
 ALL_DELIVERED, SOME_REFUSED, SOME_FAILED = 0, 75, 69  # EX_TEMPFAIL and EX_UNAVAILABLE of sysexits.h
 
-reactor: Any = chosen
+reactor = get_reactor()
 
 
 def format_result(result: FinalResult) -> str:
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -16,6 +16,7 @@
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
 from honeybarrow.node.log_format import TwoClockFormatter
 from honeybarrow.node.process import ForwarderProcess
+from honeybarrow.reactor import get_reactor
 
 CONFIG_ERROR_STATUS = 2
 FAILURE_STATUS = 1
@@ -52,11 +53,9 @@
 
 def _run(config: ForwarderConfig) -> list[Exception]:
     """Run until the reactor stops; return the errors of the policy, which end the process."""
-    from twisted.internet import reactor as own_reactor
-
     publisher: Any = globalLogPublisher
     publisher.addObserver(_log_reactor_failure)
-    reactor: Any = own_reactor
+    reactor = get_reactor()
     failures: list[Exception] = []
 
     def on_failure(error: Exception) -> None:
--- a/tests/live.py
+++ b/tests/live.py
@@ -10,15 +10,15 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from twisted.internet import reactor as chosen
 from twisted.internet.threads import blockingCallFromThread
 
 from honeybarrow import config
 from honeybarrow.config.schema import ForwarderConfig as Settings
+from honeybarrow.reactor import get_reactor
 from honeybarrow.register import EndpointAddress, EndpointEntry, ListUpdate, Partner
 from honeybarrow.service import FrontAddress, Service
 
-reactor: Any = chosen
+reactor = get_reactor()
 MAX_WAIT_S = 20.0  # only to end a test that hangs; no verdict depends on it
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,7 +11,6 @@
 from dataclasses import replace
 from typing import Any
 
-from twisted.internet import reactor as chosen
 from twisted.internet.defer import Deferred, succeed
 
 from honeybarrow import config, delivery
@@ -19,6 +18,7 @@
 from honeybarrow.delivery import forwarder
 from honeybarrow.events import AttemptFinished, EndpointState, MembershipUpdate, MessageArrived
 from honeybarrow.policy import admission, backoff, endpoint_health, lifecycle, membership, rate_limit
+from honeybarrow.reactor import get_reactor
 from honeybarrow.rehearsal import (
     SCENARIO_WORDS,
     EventLog,
@@ -32,7 +32,7 @@
 from tests.helpers import FakePermit
 from tests.live import RecordingLog
 
-reactor: Any = chosen
+reactor = get_reactor()
 DAY = """
 classes = [
     message_class("note", aim = "1s", deadline = "3s", late_share = 0.4),
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
+import socket
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
@@ -127,6 +129,29 @@
             writer.write(data)
             await writer.drain()
 
+    @contextlib.asynccontextmanager
+    async def unreachable_target(self) -> AsyncIterator[None]:
+        """While in it, connects to the target get no answer: its queue of connections is full."""
+        host, _, port = self.addresses["target"].rpartition(":")
+        for server in self.servers:
+            if address_of(server) == self.addresses["target"]:
+                server.close()
+                await server.wait_closed()
+                self.servers.remove(server)
+                break
+        listener = socket.create_server((host, int(port)), backlog=0)
+        fillers = []
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            fillers.append(filler)
+        try:
+            yield
+        finally:
+            for each in (listener, *fillers):
+                each.close()
+
     # the forwarder
 
     def configure(self) -> None:
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -79,6 +79,43 @@
     play(tmp_path, part)
 
 
+def test_a_connect_in_flight_ends_in_time_though_the_wall_clock_is_set_back(tmp_path: Path) -> None:
+    """A first attempt without an answer, then a second whose connect gets none, as in the first play."""
+
+    async def part(platform: Platform, shim: FaultShim) -> None:
+        platform.choose_answer = lambda message: None
+        submitted_s = time.monotonic()
+        assert await platform.submit("m1", left="4000m") == 202
+        await platform.wait_until(lambda: platform.calls)
+        async with platform.unreachable_target():
+            await platform.wait_until(lambda: "attempt_failed id=m1" in platform.read_log())
+            await asyncio.sleep(0.6)  # the second attempt's connect is on its way
+            shim.step_wall_clock(-20.0)
+            await wait_for_result(platform, "m1", submitted_s, 4.0)
+        assert len(platform.calls) == 1
+
+    play(tmp_path, part)
+
+
+def test_a_clock_set_forward_cuts_no_call_and_fails_no_message(tmp_path: Path) -> None:
+    async def part(platform: Platform, shim: FaultShim) -> None:
+        platform.choose_answer = lambda message: None
+        assert await platform.submit("m1", "pay", left="7000m") == 202
+        await platform.wait_until(lambda: platform.calls)
+        host, _, port = platform.listen.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /up HTTP/1.1\r\n")  # half a request
+        shim.step_wall_clock(HOUR_S)
+        await asyncio.sleep(0.5)
+        assert not is_ended(platform, "m1") and "attempt_failed" not in platform.read_log()
+        writer.write(b"\r\n")
+        assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+        writer.close()
+        assert await platform.submit("m2", left="3000m") == 202
+
+    play(tmp_path, part)
+
+
 def test_what_has_time_left_is_attempted_after_a_restart_with_the_clock_set_forward(tmp_path: Path) -> None:
     async def part(platform: Platform, shim: FaultShim) -> None:
         platform.choose_answer = lambda message: b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,10 +5,12 @@
 import json
 import subprocess
 import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+import honeybarrow
 from honeybarrow.node.config import ConfigError, parse_config
 from honeybarrow.node.endpoint_list import (
     parse_address,
@@ -70,3 +72,16 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.split() == ["reload", "stop"]
+
+
+def test_timers_follow_the_monotonic_clock_wherever_the_reactor_is_used() -> None:
+    code = (
+        "import time\nfrom honeybarrow.reactor import get_reactor\nreactor = get_reactor()\n"
+        "time.time = lambda: 0.0\n"
+        "call = reactor.callLater(5.0, print)\nprint(abs(call.getTime() - time.monotonic() - 5.0) < 0.5)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "True"
+    package = Path(honeybarrow.__file__).parent
+    importing = [path.name for path in package.rglob("*.py") if "internet import reactor" in path.read_text()]
+    assert importing == ["reactor.py"]
