--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -37,12 +37,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpPayload:
-    """What a call carries, as the client submitted it; ``deadline_wall_us`` is by the wall clock."""
+    """What a call carries, as the client submitted it; ``expires_at_us`` is log time, for the record."""
 
     message: str
     idempotency_key: str
     body: bytes
-    deadline_wall_us: int = 0
+    expires_at_us: int = 0
     idempotency: Idempotency = Idempotency.IDEMPOTENT
     order_key: str = ""  # the key that it is kept in order by, in a class that asks for it
 
--- a/honeybarrow/node/log_records.py
+++ b/honeybarrow/node/log_records.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from honeybarrow.log_timeline import ClockAnchor, ClockReading
 from honeybarrow.recovery import (
     AttemptFinished,
     AttemptStarted,
@@ -29,9 +30,12 @@
 _FINAL_RESULT = struct.Struct("<c?I")  # type code, is returned, milliseconds to wait; then the message id
 _MESSAGE_ACCEPTED = struct.Struct("<cI")  # type code, length of the JSON fields; then these and the body
 MAX_RECORD_BYTES = 1 << 18  # a body has 64 KiB at most
+# Danger: earlier builds end reading at an unknown type code, and would lose what comes behind. So an anchor
+# is written as the completion of a message that can't exist (ids have no space), which they skip.
+_ANCHOR_PREFIX = "clock "
 
 
-def encode_record(record: LogRecord) -> bytes:
+def encode_record(record: LogRecord | ClockAnchor) -> bytes:
     """Return the bytes of one record."""
     match record:
         case MessageAccepted():
@@ -46,6 +50,11 @@
             payload = _FINAL_RESULT.pack(b"N", is_returned, capped_ms) + message.encode()
         case MessageCompleted(message):
             payload = b"O" + message.encode()
+        case ClockAnchor(reading, log_time_us):
+            fields = json.dumps(
+                (reading.boot_id, reading.monotonic_us, reading.wall_us, log_time_us), separators=(",", ":")
+            ).encode()
+            payload = b"O" + _ANCHOR_PREFIX.encode() + fields
     return _RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
@@ -72,7 +81,7 @@
     return 512 + 8 * len(message) + body_bytes
 
 
-def decode_records(data: bytes) -> Iterator[LogRecord]:
+def decode_records(data: bytes) -> Iterator[LogRecord | ClockAnchor]:
     """Yield the records of one segment, up to its end, a torn tail, or what is no record."""
     offset = 0
     while offset + _RECORD_HEADER.size <= len(data):
@@ -89,7 +98,7 @@
         yield record
 
 
-def _decode_payload(payload: bytes) -> LogRecord:
+def _decode_payload(payload: bytes) -> LogRecord | ClockAnchor:
     match payload[:1]:
         case b"T":
             return _decode_accepted(payload)
@@ -103,10 +112,16 @@
             _, is_returned, retry_after_ms = _FINAL_RESULT.unpack_from(payload)
             return FinalResult(payload[_FINAL_RESULT.size :].decode(), is_returned, retry_after_ms)
         case b"O":
-            return MessageCompleted(payload[1:].decode())
+            text = payload[1:].decode()
+            return _decode_anchor(text) if text.startswith(_ANCHOR_PREFIX) else MessageCompleted(text)
     raise ValueError("unknown type of record")
 
 
+def _decode_anchor(text: str) -> ClockAnchor:
+    boot_id, monotonic_us, wall_us, log_time_us = json.loads(text.removeprefix(_ANCHOR_PREFIX))
+    return ClockAnchor(ClockReading(str(boot_id), int(monotonic_us), int(wall_us)), int(log_time_us))
+
+
 def _decode_accepted(payload: bytes) -> MessageAccepted:
     start = _MESSAGE_ACCEPTED.size
     _, length = _MESSAGE_ACCEPTED.unpack_from(payload)
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -5,12 +5,12 @@
 import logging
 import os
 import sys
-import time
 from typing import Any
 
 from twisted.logger import globalLogPublisher
 
 from honeybarrow import gc_tuning
+from honeybarrow.clocks import system_clocks
 from honeybarrow.errors import format_error
 from honeybarrow.node import signals
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
@@ -66,8 +66,7 @@
     process = ForwarderProcess(
         config,
         reactor,
-        lambda: time.monotonic_ns() // 1000,
-        lambda: time.time_ns() // 1000,
+        system_clocks(),
         on_failure,
     )
     gc_tuning.reduce_gc_frequency()
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from honeybarrow.clocks import Clocks
 from honeybarrow.delivery import Forwarder, Submission
 from honeybarrow.errors import format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
@@ -37,20 +38,18 @@
 class ForwarderProcess:
     """The parts of one forwarder process.
 
-    ``clock_us``: monotonic time; ``wall_clock_us``: wall-clock time; ``on_failure`` gets an error of the
-    policy, after which the process can't go on.
+    ``on_failure`` gets an error of the policy, after which the process can't go on.
     """
 
     def __init__(
         self,
         config: ForwarderConfig,
         reactor: Any,
-        clock_us: Callable[[], int],
-        wall_clock_us: Callable[[], int],
+        clocks: Clocks,
         on_failure: Callable[[Exception], None],
     ) -> None:
         self.config, self.reactor = config, reactor
-        self._clock_us, self._wall_clock_us, self._on_failure = clock_us, wall_clock_us, on_failure
+        self._clocks, self._on_failure = clocks, on_failure
         budget = allocate_descriptors(config.limits.descriptors, config.settings.slots)
         self.write_ahead_log = self._build_write_ahead_log()
         incarnation = str(self.write_ahead_log.incarnation)
@@ -71,7 +70,7 @@
 
     def _build_write_ahead_log(self) -> WriteAheadLog:
         max_bytes = int(self.config.limits.disk_bytes * MAX_LOG_DISK_SHARE)
-        return WriteAheadLog(self.config.state_folder, max_bytes, self._wall_clock_us)
+        return WriteAheadLog(self.config.state_folder, max_bytes, self._clocks)
 
     def _build_pool(self, budget: DescriptorBudget) -> HttpConnectionPool:
         settings = self.config.settings
@@ -91,7 +90,7 @@
             self.config.settings,
             self.config.seed,
             self.reactor,
-            self._clock_us,
+            self._clocks.monotonic_us,
             self.pool,
             self.endpoints.addresses_of,
             lambda: self.discovery.subscribe(),
@@ -126,7 +125,6 @@
             self.forwarder,
             self.write_ahead_log,
             self.notifications,
-            self._wall_clock_us,
             self.endpoints.is_destination_listed,
             random.Random(self.config.seed),
         )
@@ -134,7 +132,7 @@
     def _build_shutdown(self) -> GracefulShutdown:
         return GracefulShutdown(
             self.reactor,
-            self._clock_us,
+            self._clocks.monotonic_us,
             self.forwarder,
             self.submissions,
             self.notifications,
@@ -152,7 +150,7 @@
             self.submissions,
             self.notifications,
             self.write_ahead_log,
-            ClockMonitor(self._clock_us, self._wall_clock_us),
+            ClockMonitor(self._clocks),
         )
 
     # start
@@ -177,17 +175,21 @@
         if self._first_list_timer is not None and self._first_list_timer.active():
             self._first_list_timer.cancel()
         self._first_list_timer = None
-        planned_us = self._wall_clock_us()
+        planned_us = self.write_ahead_log.now_us()
+        timeline = self.write_ahead_log.timeline
         pending = list(self.write_ahead_log.pending_messages.by_id.values())
-        steps = plan_recovery(pending, self.forwarder.sender.classes, planned_us)
+        steps = plan_recovery(pending, self.forwarder.sender.classes, planned_us, timeline.is_continuous)
         for step in steps:
             if isinstance(step, ResumedMessage):
-                self._resume(step.delayed_by(self._wall_clock_us() - planned_us))
+                self._resume(step.delayed_by(self.write_ahead_log.now_us() - planned_us))
             else:
                 self._notify_recovered(step)
         resumed = sum(isinstance(step, ResumedMessage) for step in steps)
         if steps:
-            log.info("recovery_planned resumed=%d notified=%d", resumed, len(steps) - resumed)
+            log.info(
+                "recovery_planned resumed=%d notified=%d clock=%s",
+                resumed, len(steps) - resumed, timeline.start.value,
+            )  # fmt: skip
         self.reactor.callLater(0, self._become_ready)
 
     def _resume(self, resumed: ResumedMessage) -> None:
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -66,8 +66,8 @@
 class SubmissionService:
     """Answers clients' requests and reports final results.
 
-    ``wall_clock_us``: the present wall-clock time; ``is_destination_listed``: whether a destination has been
-    in the endpoint list; ``rng``: spreads Retry-After.
+    ``is_destination_listed``: whether a destination has been in the endpoint list; ``rng``: spreads
+    Retry-After.
     """
 
     def __init__(
@@ -75,12 +75,11 @@
         forwarder: Forwarder,
         write_ahead_log: WriteAheadLog,
         notifications: NotificationSender,
-        wall_clock_us: Callable[[], int],
         is_destination_listed: Callable[[int], bool],
         rng: random.Random,
     ) -> None:
         self.forwarder, self.write_ahead_log, self.notifications = forwarder, write_ahead_log, notifications
-        self.wall_clock_us, self.is_destination_listed, self.rng = wall_clock_us, is_destination_listed, rng
+        self.is_destination_listed, self.rng = is_destination_listed, rng
         self.tenants = {tenant.name: None for tenant in forwarder.settings.tenants}
         self.is_ready = False
         self.is_draining = False
@@ -137,7 +136,7 @@
             return None
         self._remember_id(message)
         request = _PendingRequest(self, message, send_answer)
-        expires_at_us = self.wall_clock_us() + submitted.time_left_us
+        expires_at_us = self.write_ahead_log.now_us() + submitted.time_left_us
         idempotency, order_key = self._idempotency_of(submitted.class_name), submitted.order_key
         result = self.forwarder.submit(
             Submission(
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -11,10 +11,11 @@
 import logging
 import os
 from collections import OrderedDict
-from collections.abc import Callable
 from typing import Any
 
+from honeybarrow.clocks import Clocks
 from honeybarrow.events import AttemptStatus
+from honeybarrow.log_timeline import ClockAnchor, start_timeline
 from honeybarrow.node.log_records import decode_records, encode_record, max_bytes_of_message
 from honeybarrow.recovery import (
     AttemptFinished,
@@ -37,12 +38,11 @@
 class WriteAheadLog:
     """Records accepted messages until they are completed; see :class:`honeybarrow.ports.MessageLog`.
 
-    ``folder``: where the segments are; ``max_bytes``: bound of all files together; ``wall_clock_us``: the
-    present wall-clock time.
+    ``folder``: where the segments are; ``max_bytes``: bound of all files together.
     """
 
-    def __init__(self, folder: str, max_bytes: int, wall_clock_us: Callable[[], int]) -> None:
-        self.folder, self.max_bytes, self.wall_clock_us = folder, max_bytes, wall_clock_us
+    def __init__(self, folder: str, max_bytes: int, clocks: Clocks) -> None:
+        self.folder, self.max_bytes, self._clocks = folder, max_bytes, clocks
         self.max_segment_bytes = max(4 * BLOCK_BYTES, max_bytes // SEGMENT_COUNT)
         self.pending_messages = PendingMessages()
         self.has_write_failed = False  # the last one
@@ -55,7 +55,10 @@
         self._pending_bytes = 0  # upper bound of what all pending messages take
         self._descriptor = -1
         self._last_sequence_number = 0  # messages accepted so far, by all processes whose records are here
+        self._newest_time_us: int | None = None  # on record
+        self._anchor: ClockAnchor | None = None  # of the newest segment with records
         self._read_segments()
+        self.timeline = start_timeline(self._anchor, self._newest_time_us, clocks.read())
         self._open_next_segment()
         self._first_segment = next(reversed(self._segment_bytes))
 
@@ -64,6 +67,10 @@
         """A number of this process that no other process that used the folder has had: its first segment."""
         return self._first_segment
 
+    def now_us(self) -> int:
+        """Return the present log time, see :mod:`honeybarrow.log_timeline`."""
+        return self.timeline.to_log_time_us(self._clocks.monotonic_us())
+
     # reading
 
     def _segment_path(self, segment: int) -> str:
@@ -78,8 +85,13 @@
         for segment in sorted(segments):
             data = self._read_segment(segment)
             self._segment_bytes[segment] = len(data)
-            for record in decode_records(data):
-                self._apply_record(record, segment)
+            for number, record in enumerate(decode_records(data)):
+                if isinstance(record, ClockAnchor):
+                    self._note_time(record.log_time_us)
+                    self._anchor = record
+                else:
+                    self._anchor = self._anchor if number else None  # an earlier build wrote this segment
+                    self._apply_record(record, segment)
 
     def _read_segment(self, segment: int) -> bytes:
         try:
@@ -103,6 +115,12 @@
             self._pending_bytes += max_bytes_of_message(message, len(record.body))
         elif isinstance(record, MessageCompleted):
             self._remove_from_segment(message)
+        elif isinstance(record, AttemptStarted):
+            self._note_time(record.started_at_us)
+
+    def _note_time(self, log_time_us: int) -> None:
+        newest_us = self._newest_time_us
+        self._newest_time_us = log_time_us if newest_us is None else max(newest_us, log_time_us)
 
     def _remove_from_segment(self, message: str) -> None:
         segment = self._segment_of_message.pop(message, None)
@@ -146,7 +164,7 @@
                 submission.message,
                 submission.class_name,
                 submission.destination,
-                payload.deadline_wall_us,
+                payload.expires_at_us,
                 submission.tenant,
                 payload.idempotency_key,
                 payload.body,
@@ -158,7 +176,7 @@
     def record_attempt_started(self, message: str, attempt: int) -> bool:
         """Commit the start of an attempt at once; whether it is on disk."""
         reserved_bytes = self._reserved_bytes  # of messages whose acceptance the turn's own commit writes
-        self.append(AttemptStarted(message, attempt, self.wall_clock_us()))
+        self.append(AttemptStarted(message, attempt, self.now_us()))
         is_committed = self.commit()
         self._reserved_bytes = reserved_bytes
         return is_committed
@@ -204,8 +222,10 @@
             self._open_next_segment()
         if self._has_torn_tail:
             return False
-        data = b"".join(map(encode_record, records))
         segment = next(reversed(self._segment_bytes))
+        data = b"".join(map(encode_record, records))
+        if self._segment_bytes[segment] == 0:
+            data = encode_record(self._make_anchor()) + data
         written = self._write_bytes(data)
         self._segment_bytes[segment] += written
         self.has_write_failed = written < len(data)
@@ -218,6 +238,10 @@
             self._open_next_segment()
         return True
 
+    def _make_anchor(self) -> ClockAnchor:
+        reading = self._clocks.read()
+        return ClockAnchor(reading, self.timeline.to_log_time_us(reading.monotonic_us))
+
     def _write_bytes(self, data: bytes) -> int:
         try:
             return os.write(self._descriptor, data)
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -2,8 +2,8 @@
 
 Log records in, a recovery plan out; no I/O and no clock: times are arguments. :class:`PendingMessages` is
 also kept up to date while the process runs, so that a record that compaction copies forward says exactly what
-a restart would read from the log. Times are microseconds of the wall clock, because a monotonic clock ends
-with its process.
+a restart would read from the log. Times are microseconds of the log's timeline, see
+:mod:`honeybarrow.log_timeline`.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from honeybarrow.settings import Idempotency, MessageClass
 
 MAX_SHUTDOWN_US = 3_500_000  # from SIGTERM to the end of the process; SIGKILL comes a little later
+UNKNOWN_AGE_US = 1 << 50  # of an ambiguous attempt; longer than any key window
 SHUTDOWN_QUIET_US = 1_500_000  # at the end of it no attempt starts whose loss would fail its message
 
 
@@ -190,12 +191,16 @@
 
 
 def plan_recovery(
-    pending_messages: Iterable[PendingMessage], message_classes: Mapping[str, MessageClass], now_us: int
+    pending_messages: Iterable[PendingMessage],
+    message_classes: Mapping[str, MessageClass],
+    now_us: int,
+    is_time_certain: bool = True,
 ) -> list[ResumedMessage | FinalResult]:
     """Return what becomes of each pending message at a start, in their order of acceptance.
 
     A result that was decided before is reported again. A message that has expired, whose class is gone, or
-    that is non-idempotent with an ambiguous attempt fails. All others are resumed.
+    that is non-idempotent with an ambiguous attempt fails. All others are resumed. ``is_time_certain``:
+    ``now_us`` and the recorded times belong to one clock; else a key window may be over, whatever they say.
     """
     steps: list[ResumedMessage | FinalResult] = []
     # Danger: compaction puts records that it copies forward behind those of messages accepted later.
@@ -212,9 +217,10 @@
         ):
             steps.append(FinalResult(accepted.message, is_returned=False))
         else:
-            # Danger: a clock that was set back would make the ambiguous attempt look younger, never older.
             age = None if ambiguous_us is None else max(0, now_us - ambiguous_us)
-            # A clock that was set back must not extend the time left either.
+            if age is not None and not is_time_certain:
+                age = UNKNOWN_AGE_US
+            # Records of earlier builds have wall times, which a step may have put out of reach.
             time_left_us = min(accepted.expires_at_us - now_us, message_class.deadline_us)
             steps.append(ResumedMessage(accepted, time_left_us, pending.attempt_count, age))
     return steps
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from honeybarrow import Sender
 from honeybarrow.actions import Action, FailPermanently, ReturnToClient, SendAttempt, SetTimer
+from honeybarrow.clocks import Clocks
 from honeybarrow.events import (
     AttemptFinished,
     AttemptStatus,
@@ -41,6 +43,11 @@
 )
 
 
+def make_clocks(monotonic_us: Callable[[], int], wall_us: Callable[[], int] | None = None) -> Clocks:
+    """Clocks in the test's hands, of one boot; both alike unless a wall clock is given."""
+    return Clocks(monotonic_us, wall_us or monotonic_us, "boot")
+
+
 def settings(**changes: Any) -> Settings:
     """Settings for most tests."""
     values: dict[str, Any] = {
