System calls that fail for a moment cost one request at most; a busy port delays the start

Cause: Twisted closes a connection when recv fails for want of memory, retries an accept that fails for want of descriptors at once and for ever, and counts a connect that this machine could not make against the endpoint. A port that can't be had ended the start.

--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -25,6 +25,7 @@
 from honeybarrow.node.sockets import has_unread_bytes, has_unwritten_bytes, is_open_and_quiet, write_now
 from honeybarrow.ports import AttemptPermit, Clock, DelayedCall, Network
 from honeybarrow.settings import Idempotency
+from honeybarrow.tcp_transports import is_local_connect_failure
 
 READ_INTERVAL_S = 0.02  # no answer stays unread for longer while calls are written
 SWEEP_INTERVAL_S = 0.5  # between checks of idle connections
@@ -137,7 +138,7 @@
                 self.finish_call(AttemptOutcome(AttemptStatus.OK))
         call, self.call = self.call, None
         if call is not None:
-            call.on_connection_lost(self, reason.getErrorMessage())
+            call.on_connection_lost(self, reason)
 
     def close(self) -> None:
         """Close at once: nothing that the target still says on it is wanted."""
@@ -223,9 +224,13 @@
         )
         return http.encode_request("POST", "/v1/messages", fields, payload.body)
 
-    def on_connection_lost(self, connection: HttpConnection, reason: str) -> None:
+    def on_connection_lost(self, connection: HttpConnection, failure: Failure) -> None:
         """The connection is gone, or never came up."""
-        if not self.is_started or self._is_cut_off(connection):
+        reason = failure.getErrorMessage()
+        if not self.is_started and is_local_connect_failure(failure):
+            # Danger: as a failed connect it would count against an endpoint that nobody has asked.
+            self.finish(AttemptOutcome(AttemptStatus.NOT_SENT, True, reason=reason))
+        elif not self.is_started or self._is_cut_off(connection):
             self.finish(AttemptOutcome(AttemptStatus.CONNECT_FAILED, True, reason=reason))
         else:
             self.record_reuse_result(is_lost=connection.reader is None or not connection.reader.has_started)
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -11,7 +11,7 @@
 
 from honeybarrow import gc_tuning
 from honeybarrow.clocks import system_clocks
-from honeybarrow.errors import format_error
+from honeybarrow.errors import HoneybarrowError, format_error
 from honeybarrow.node import signals
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
 from honeybarrow.node.log_format import TwoClockFormatter
@@ -60,7 +60,10 @@
 
     def on_failure(error: Exception) -> None:
         failures.append(error)
-        log.error("policy_failed", exc_info=error)
+        if isinstance(error, HoneybarrowError):
+            log.error("process_failed %s", format_error(error))
+        else:
+            log.error("policy_failed", exc_info=error)
         reactor.stop()
 
     process = ForwarderProcess(
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from honeybarrow.clocks import Clocks
 from honeybarrow.delivery import Forwarder, Submission
-from honeybarrow.errors import format_error
+from honeybarrow.errors import HoneybarrowError, format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
 from honeybarrow.node.calls import HttpConnectionPool
 from honeybarrow.node.clock_monitor import ClockMonitor
@@ -32,9 +34,18 @@
 # For the first list where lists are pushed: a connect whose first SYN is lost needs 1 s.
 FIRST_LIST_TIMEOUT_S = 1.2
 LISTEN_BACKLOG = 512
+LISTEN_RETRY_DELAY_S = 0.2
+LISTEN_TIMEOUT_S = 20.0  # a start has to be over within 30 s
 log = logging.getLogger("honeybarrow.node")
 
 
+class ListenError(HoneybarrowError, OSError):
+    """The address to listen on can't be had."""
+
+    code = "HB114"
+    remedy = "look for another process on that address, or correct it in the platform's configuration"
+
+
 class ForwarderProcess:
     """The parts of one forwarder process.
 
@@ -157,8 +168,7 @@
 
     def start(self) -> None:
         """Listen, resume what an earlier process had accepted, and then be ready."""
-        host, port = self.config.listen_address
-        self.listener = self.reactor.listenTCP(port, self.front, backlog=LISTEN_BACKLOG, interface=host)
+        self._listen(self.reactor.seconds() + LISTEN_TIMEOUT_S)
         self.endpoints.apply_update(self.config.saved_list)
         self.forwarder.apply_membership_update(self.config.saved_list.to_membership_update(UpdateKind.SAVED))
         self.status_log.start()
@@ -170,6 +180,18 @@
         self._first_list_timer = self.reactor.callLater(FIRST_LIST_TIMEOUT_S, self._recover)
         self.discovery.subscribe()
 
+    def _listen(self, until_s: float) -> None:
+        """Listen; as long as the port can't be had, try again: it may still be an earlier process's."""
+        host, port = self.config.listen_address
+        try:
+            self.listener = self.reactor.listenTCP(port, self.front, backlog=LISTEN_BACKLOG, interface=host)
+        except (CannotListenError, OSError) as error:
+            if self.reactor.seconds() >= until_s:
+                self._on_failure(ListenError(f"can't listen on {host}:{port}", str(error)))
+                return
+            log.warning("listen_failed error=%r retry_in_s=%.1f", str(error), LISTEN_RETRY_DELAY_S)
+            self.reactor.callLater(LISTEN_RETRY_DELAY_S, self._listen, until_s)
+
     def _recover(self) -> None:
         """Resume or fail what an earlier process had accepted; the list is as new as it can be had."""
         if self._first_list_timer is not None and self._first_list_timer.active():
--- a/honeybarrow/node/sockets.py
+++ b/honeybarrow/node/sockets.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import Any
 
+from honeybarrow.tcp_transports import TRANSIENT_ERRNOS
+
+_TRY_AGAIN_ERRNOS = TRANSIENT_ERRNOS | {errno.EAGAIN, errno.EWOULDBLOCK}
+
 
 def write_now(transport: Any, data: bytes) -> bool:
     """Write at once, if nothing waits to be written; whether the system has taken all of it.
@@ -20,7 +25,9 @@
         return own is None
     try:
         written = own.send(data)
-    except (BlockingIOError, InterruptedError):
+    except OSError as error:
+        if error.errno not in _TRY_AGAIN_ERRNOS:
+            raise
         written = 0
     if written < len(data):
         transport.write(data[written:])
@@ -33,14 +40,17 @@
 
 
 def has_unread_bytes(transport: Any) -> bool:
-    """Return whether bytes have come that were not read yet. The peer's end of stream alone is none."""
+    """Return whether bytes have come that were not read yet. The peer's end of stream alone is none.
+
+    A look that fails for a moment counts as a yes: what is there must not be lost.
+    """
     own: socket.socket | None = getattr(transport, "socket", None)
     if own is None:
         return False
     try:
         return bool(own.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
+    except OSError as error:
+        return error.errno in TRANSIENT_ERRNOS
 
 
 def half_close(transport: Any) -> None:
@@ -70,7 +80,7 @@
         return True
     try:
         own.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except (BlockingIOError, InterruptedError):
+    except BlockingIOError:
         return True
     except OSError:
         return False
--- a/honeybarrow/reactor.py
+++ b/honeybarrow/reactor.py
@@ -1,4 +1,4 @@
-"""The reactor of a process: Twisted's own, with timers that are due by the monotonic clock."""
+"""The reactor of a process: Twisted's, by the monotonic clock, with transports that outlive errors."""
 
 from __future__ import annotations
 
@@ -17,4 +17,32 @@
 
     reactor: Any = own_reactor
     reactor.seconds = time.monotonic
+    reactor.listenTCP = _listen_tcp
+    reactor.connectTCP = _connect_tcp
     return reactor
+
+
+def _listen_tcp(port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+    from twisted.internet import reactor
+
+    from honeybarrow.tcp_transports import ResilientPort
+
+    listener = ResilientPort(port, factory, backlog, interface, reactor)
+    listener.startListening()
+    return listener
+
+
+def _connect_tcp(
+    host: str,
+    port: int,
+    factory: Any,
+    timeout: float = 30.0,
+    bindAddress: Any = None,  # noqa: N803
+) -> Any:
+    from twisted.internet import reactor
+
+    from honeybarrow.tcp_transports import ResilientConnector
+
+    connector = ResilientConnector(host, port, factory, timeout, bindAddress, reactor)
+    connector.connect()
+    return connector
