--- a/honeybarrow/node/sockets.py
+++ b/honeybarrow/node/sockets.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from typing import Any
 
 from honeybarrow.tcp_transports import TRANSIENT_ERRNOS
 
-_TRY_AGAIN_ERRNOS = TRANSIENT_ERRNOS | {errno.EAGAIN, errno.EWOULDBLOCK}
-
 
 def write_now(transport: Any, data: bytes) -> bool:
     """Write at once, if nothing waits to be written; whether the system has taken all of it.
@@ -25,8 +22,10 @@
         return own is None
     try:
         written = own.send(data)
+    except BlockingIOError:
+        written = 0
     except OSError as error:
-        if error.errno not in _TRY_AGAIN_ERRNOS:
+        if error.errno not in TRANSIENT_ERRNOS:
             raise
         written = 0
     if written < len(data):
