Notifications leave without waiting for reactor rounds; eviction without a look at all

A notification took a round to leave its turn, one to connect, one to be written, and rounds took 0.16 s in the crowd; its 0.2 s timeout ended the connection before anything was written. Ruled out: an endpoint (0 attempts), a clock (no step), a closed client connection (accepted before). Lines at fault: NotificationSender.add, _send_batch, _on_answer_timeout; Front._choose_eviction, which looked through all connections for each new one. Change: notifications go at the end of their turn and are written with their connection; a connection without an answer in time stays, and its answer counts; a connect begins in the round that asks for it; connections are kept in an eviction queue by class; where each candidate has an unread request, the new connection gets 503. Result: two tests with rounds of 0.16 s and a late answer fail before (one in another form) and pass; 206 tests of fronts, calls, endings, submission, delivery pass. The test of eviction ranks is replaced by one of the queue's order, the same order by age.

--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -118,6 +118,7 @@
         # and when its last attempt has ended
         self.on_withdrawn: Callable[[str, int, bool], None] = _ignore
         self.on_last_attempt_finished: Callable[[str, AttemptOutcome, bool], None] = _ignore
+        self.on_turn_finished: Callable[[], object] = _ignore
         self._completed: list[str] = []  # to be removed at the end of the next turn
         self._drain_waiters: list[Deferred[None]] = []
 
@@ -215,6 +216,7 @@
             message = self._messages.get(name)  # named twice if it was sent, too late, in this turn
             if message is not None and message.attempts_in_flight == 0:
                 del self._messages[name]
+        self.on_turn_finished()
 
     def _on_policy_error(self, error: Exception) -> None:
         """The policy raised: nothing that is open can be decided any more, and the process has to end."""
--- a/honeybarrow/node/descriptor_budget.py
+++ b/honeybarrow/node/descriptor_budget.py
@@ -17,7 +17,6 @@
 FIRST_REQUEST_TIMEOUT_S = 2.0  # from connecting to a whole request: an answer or a close is due within 3 s
 REQUEST_TIMEOUT_S = 2.0  # from the first byte of a later request to its last
 UNUSED_AFTER_S = 0.5  # without a byte, after which no request is expected soon on a new connection
-IDLE_AFTER_S = 2.0  # after an answer, from which on a client hardly sends again on the same connection
 LINGER_TIMEOUT_S = 0.3  # to discard input after our half-close, so that no reset destroys the last answer
 
 
@@ -77,19 +76,27 @@
     return ConnectionAction.HALF_CLOSE if is_overdue else ConnectionAction.NONE
 
 
-def eviction_rank(state: ConnectionState, has_answered: bool, age_s: float) -> int | None:
-    """Return how soon a connection is evicted for a new one, the least first; ``None``: never.
+class EvictionClass(enum.Enum):
+    """Connections that may be evicted for a new one, those that go first in front.
 
     Danger: a request may be on its way on a connection that has sent nothing yet, and fails with it. One
     between requests loses nothing, since its client sends again on a new connection. So those go first.
     """
+
+    CLOSING = "closing"
+    KEEP_ALIVE = "keep-alive"
+    UNANSWERED = "unanswered"  # no whole request has come yet
+
+
+def eviction_class(state: ConnectionState, has_answered: bool) -> EvictionClass | None:
+    """Return the class of a connection; ``None``: it is never evicted."""
     match state:
         case ConnectionState.CLOSING:
-            return 0
+            return EvictionClass.CLOSING
         case ConnectionState.KEEP_ALIVE:
-            return 1 if age_s > IDLE_AFTER_S else 2
+            return EvictionClass.KEEP_ALIVE
         case ConnectionState.NEW:
-            return 3 if age_s > UNUSED_AFTER_S else 4
+            return EvictionClass.UNANSWERED
         case ConnectionState.READING if not has_answered:
-            return 3 if age_s > UNUSED_AFTER_S else 4
+            return EvictionClass.UNANSWERED
     return None
--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -28,6 +28,7 @@
 from honeybarrow.errors import format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
 from honeybarrow.node.endpoint_list import EndpointList, EndpointListError, WatchReader
+from honeybarrow.node.sockets import write_now
 from honeybarrow.ports import Clock, DelayedCall, Network
 
 HEARTBEAT_INTERVAL_S = 2.0  # between empty lines while nothing changes, by the platform's protocol
@@ -61,7 +62,10 @@
         self.transport.setTcpNoDelay(True)
         since = "" if self.version is None else f"&index={self.version}"
         request = http.encode_request("GET", f"/discovery/hosts?stream=1{since}", f"Host: {self.host}\r\n")
-        self.transport.write(request)
+        try:
+            write_now(self.transport, request)
+        except OSError:
+            self.transport.abortConnection()
         self.requested_at_s = self.discovery.clock.seconds()
 
     def dataReceived(self, data: bytes) -> None:
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -11,7 +10,8 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import http
-from honeybarrow.node.descriptor_budget import ConnectionAction, ConnectionState, choose_action, eviction_rank
+from honeybarrow.node.descriptor_budget import ConnectionAction, ConnectionState, choose_action
+from honeybarrow.node.eviction_queue import EvictionQueue
 from honeybarrow.node.rate_limited_log import RateLimitedLog
 from honeybarrow.node.sockets import close_now, half_close, has_unread_bytes, write_now
 from honeybarrow.ports import Clock
@@ -80,6 +80,7 @@
         if self.has_answered and not self.has_open_request and self.reader.state is http.ReaderState.START:
             self.state_since_s = self.front.clock.seconds()
         self.reader.receive(data)
+        self.front.on_state_changed(self)
         if self.reader.is_buffer_full and not self.is_paused:
             self.is_paused = True
             self.transport.pauseProducing()
@@ -101,6 +102,7 @@
                 self.finish(http.encode_response(event.status, close=True))
                 return
             self.has_open_request = True
+            self.front.on_state_changed(self)
             self.is_last_request = event.closes_connection
             cancel_request = self.front.handler.handle_request(event, self._send_answer)
             # The answer may have been sent before the handler returned.
@@ -127,7 +129,7 @@
             self.finish(http.with_connection_close(data))
             return
         self._write(data)
-        self.front.on_answered(self)
+        self.front.on_state_changed(self)
         if not self.is_processing_scheduled:
             self.is_processing_scheduled = True
             self.front.clock.callLater(0, self._process_requests)
@@ -144,6 +146,7 @@
         Danger: a close over bytes that were not read is a reset, and destroys the answer.
         """
         self.is_closing = True
+        self.front.on_state_changed(self)
         self.state_since_s = self.front.clock.seconds()
         if self.is_paused:
             self.is_paused = False
@@ -183,7 +186,8 @@
 
     def __init__(self, clock: Clock, handler: RequestHandler, max_connections: int) -> None:
         self.clock, self.handler, self.max_connections = clock, handler, max_connections
-        self.connections: OrderedDict[int, ClientConnection] = OrderedDict()  # least recently answered first
+        self.connections: dict[int, ClientConnection] = {}
+        self._eviction_queue: EvictionQueue[int, ClientConnection] = EvictionQueue()
         self.accepted_count = 0
         self.bad_request_count = 0
         self.bad_request_log = RateLimitedLog(clock.seconds)
@@ -206,32 +210,29 @@
             if evicted is None:
                 connection.reject()
                 return
-            self.connections.pop(evicted.number, None)
+            self.on_closed(evicted)
             evicted.is_closing = True
             close_now(evicted.transport)
         self.connections[connection.number] = connection
+        self.on_state_changed(connection)
 
     def _choose_eviction(self) -> ClientConnection | None:
-        """Return the connection to evict: of the lowest rank, the least recently answered one."""
-        now = self.clock.seconds()
-        by_rank: dict[int, list[ClientConnection]] = {}
-        for each in self.connections.values():
-            if (rank := eviction_rank(each.state, each.has_answered, now - each.state_since_s)) is not None:
-                by_rank.setdefault(rank, []).append(each)
-        limit = MAX_EVICTION_CANDIDATES
-        candidates = [each for rank in sorted(by_rank) for each in by_rank[rank][:limit]][:limit]
+        """Return the connection to evict, ``None`` if each that may be evicted has an unread request."""
         # Danger: with a connection whose request is still unread, that request would be lost.
-        quiet = (each for each in candidates if not has_unread_bytes(each.transport))
-        return next(quiet, candidates[0] if candidates else None)
+        candidates = self._eviction_queue.candidates(MAX_EVICTION_CANDIDATES)
+        return next((each for each in candidates if not has_unread_bytes(each.transport)), None)
 
-    def on_answered(self, connection: ClientConnection) -> None:
-        """Note an answer: the connection becomes the most recently answered one."""
+    def on_state_changed(self, connection: ClientConnection) -> None:
+        """Keep a connection in its place among those that may be evicted."""
         if connection.number in self.connections:
-            self.connections.move_to_end(connection.number)
+            self._eviction_queue.update(
+                connection.number, connection, connection.state, connection.has_answered
+            )
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Forget a connection that is gone."""
         self.connections.pop(connection.number, None)
+        self._eviction_queue.remove(connection.number)
 
     def drain(self) -> None:
         """Close connections between requests. Open requests are answered; new connections may send one."""
--- a/honeybarrow/node/notifications.py
+++ b/honeybarrow/node/notifications.py
@@ -12,7 +12,7 @@
 
 from honeybarrow import http
 from honeybarrow.delivery import Connector
-from honeybarrow.node.sockets import is_open_and_quiet
+from honeybarrow.node.sockets import is_open_and_quiet, write_now
 from honeybarrow.ports import Clock, DelayedCall, Network
 from honeybarrow.recovery import FinalResult
 
@@ -21,8 +21,11 @@
 # Danger: a notification counts as missing 0.3 s after its message's deadline, so a silent connection is
 # abandoned soon.
 MIN_ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S = 0.2, 1.0
+CONNECT_TIMEOUT_S = 3.0  # of a connection, beside which others are tried
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 1.0  # first delay after a failure, doubled up to the second
 MAX_IDLE_S = 1.5  # after which a keep-alive connection carries no further batch
+MAX_LATE_CONNECTIONS = 3
+ACKNOWLEDGED_STATUS = 204
 log = logging.getLogger("honeybarrow.node")
 
 
@@ -45,19 +48,29 @@
         self.reader: http.ResponseReader | None = None
         self.batch: list[str] = []
         self.idle_since_s = 0.0
+        self.is_abandoned = False
 
     def connectionMade(self) -> None:
         """Write the batch that the connection was opened for."""
+        if self.is_abandoned:
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
         self.write_batch()
 
     def write_batch(self) -> None:
-        """Write one request with the notifications of the batch that are still to be sent."""
+        """Write one request with the notifications of the batch that are still to be sent, at once.
+
+        Danger: written in the reactor's next round, they come too late where rounds are long.
+        """
         self.reader = http.ResponseReader(1 << 16)
         lines = self.sender.unacknowledged
         body = "".join(lines[message] + "\n" for message in self.batch if message in lines).encode()
         fields = f"Host: {self.host}\r\nContent-Length: {len(body)}\r\n"
-        self.transport.write(http.encode_request("POST", "/reports", fields, body))
+        try:
+            write_now(self.transport, http.encode_request("POST", "/reports", fields, body))
+        except OSError:
+            self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Read the answer to a batch."""
@@ -96,28 +109,36 @@
         self._before_send, self._on_acknowledged = before_send, on_acknowledged
         self.unacknowledged: dict[str, str] = {}  # lines by message; bounded by the messages in the log
         self._active: _NotificationConnection | None = None
+        # Without an answer in time, and sent again since; an answer that still comes counts.
+        self._late: list[_NotificationConnection] = []
         self._idle: _NotificationConnection | None = None
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._answer_timeout_s = MIN_ANSWER_TIMEOUT_S
         self._timer: DelayedCall | None = None
-        self._is_send_scheduled = False
+        self._is_flushable = False  # the timer waits for the end of the turn alone
 
     def add(self, result: FinalResult) -> None:
-        """Add the notification of a final result; it leaves after this turn."""
+        """Add the notification of a final result; it leaves with :meth:`flush`, or in the next round."""
         self.unacknowledged[result.message] = encode_notification(result)
-        if self._active is None and self._timer is None and not self._is_send_scheduled:
-            self._is_send_scheduled = True
-            self.clock.callLater(0, self._send_batch)
+        if self._active is None and self._timer is None:
+            self._timer = self.clock.callLater(0, self._send_batch)
+            self._is_flushable = True
+
+    def flush(self) -> None:
+        """Send at once what was added in this turn, if nothing else is being sent."""
+        if self._is_flushable:
+            self._clear_timer()
+            self._send_batch()
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Send to another address from now on; what is not acknowledged yet goes there at once."""
         if address == self.address:
             return
         self.address = address
-        for connection in (self._active, self._idle):
-            if connection is not None and connection.transport is not None:
-                connection.transport.abortConnection()
-        self._active = self._idle = None
+        for connection in (self._active, self._idle, *self._late):
+            if connection is not None:
+                _abort(connection)
+        self._active, self._idle, self._late = None, None, []
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._clear_timer()
         self._send_batch()
@@ -128,7 +149,7 @@
         self._timer = None
 
     def _send_batch(self) -> None:
-        self._is_send_scheduled = False
+        self._is_flushable = False
         self._timer = None
         if self._active is not None or not self.unacknowledged:
             return
@@ -149,22 +170,26 @@
         self._active = connection = _NotificationConnection(self, self.address[0])
         connection.batch = batch
         self._timer = self.clock.callLater(self._answer_timeout_s, self._on_answer_timeout, connection)
-        self.network.connectTCP(*self.address, Connector(connection), timeout=self._answer_timeout_s)
+        self.network.connectTCP(*self.address, Connector(connection), timeout=CONNECT_TIMEOUT_S)
 
     def on_answer(self, connection: _NotificationConnection, status: int, is_reusable: bool) -> None:
         """Handle the answer to a batch; ``is_reusable``: the connection may carry another."""
+        if connection in self._late:
+            self._late.remove(connection)
+            _abort(connection)
+            if status == ACKNOWLEDGED_STATUS:
+                self._acknowledge(connection.batch)
+            return
         if connection is not self._active:
             return
         self._clear_timer()
         self._active = None
-        if status != 204:
+        if status != ACKNOWLEDGED_STATUS:
             log.warning("notification_rejected status=%d", status)
             connection.transport.abortConnection()
             self._schedule_retry("rejected", connection.batch)
             return
-        for message in connection.batch:
-            self.unacknowledged.pop(message, None)
-        self._on_acknowledged(connection.batch)
+        self._acknowledge(connection.batch)
         self._retry_delay_s, self._answer_timeout_s = MIN_RETRY_DELAY_S, MIN_ANSWER_TIMEOUT_S
         if is_reusable:
             self._idle, connection.idle_since_s = connection, self.clock.seconds()
@@ -172,8 +197,15 @@
             connection.transport.loseConnection()
         self._send_batch()
 
+    def _acknowledge(self, batch: list[str]) -> None:
+        acknowledged = [message for message in batch if self.unacknowledged.pop(message, None) is not None]
+        if acknowledged:
+            self._on_acknowledged(acknowledged)
+
     def on_connection_lost(self, connection: _NotificationConnection) -> None:
         """Handle the loss of a connection."""
+        if connection in self._late:
+            self._late.remove(connection)
         if connection is self._idle:
             self._idle = None
         if connection is self._active:
@@ -185,8 +217,9 @@
         self._timer = None
         if connection is self._active:
             self._active = None
-            if connection.transport is not None:
-                connection.transport.abortConnection()
+            self._late.append(connection)
+            if len(self._late) > MAX_LATE_CONNECTIONS:
+                _abort(self._late.pop(0))
             self._answer_timeout_s = min(MAX_ANSWER_TIMEOUT_S, self._answer_timeout_s * 2)
             self._schedule_retry("no_answer", connection.batch)
 
@@ -199,3 +232,10 @@
             )  # fmt: skip
             self._timer = self.clock.callLater(self._retry_delay_s, self._send_batch)
             self._retry_delay_s = min(MAX_RETRY_DELAY_S, self._retry_delay_s * 2)
+
+
+def _abort(connection: _NotificationConnection) -> None:
+    """Close a connection at once; one that is not up yet is closed when it comes up."""
+    connection.is_abandoned = True
+    if connection.transport is not None:
+        connection.transport.abortConnection()
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -70,6 +70,7 @@
         self.forwarder = self._build_forwarder()
         self.discovery = self._build_discovery()
         self.notifications = self._build_notifications()
+        self.forwarder.on_turn_finished = self.notifications.flush
         self.submissions = self._build_submissions()
         self.front = Front(reactor, self.submissions, budget.client_connections)
         self.shutdown = self._build_shutdown()
--- a/honeybarrow/reactor.py
+++ b/honeybarrow/reactor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import Any
 
 
@@ -17,14 +18,17 @@
 
     reactor: Any = own_reactor
     reactor.seconds = time.monotonic
-    reactor.listenTCP = _listen_tcp
-    reactor.connectTCP = _connect_tcp
+    install_transports(reactor)
     return reactor
 
 
-def _listen_tcp(port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
-    from twisted.internet import reactor
+def install_transports(reactor: Any) -> None:
+    """Let a reactor of Twisted's listen and connect by :mod:`honeybarrow.tcp_transports`."""
+    reactor.listenTCP = partial(_listen_tcp, reactor)
+    reactor.connectTCP = partial(_connect_tcp, reactor)
 
+
+def _listen_tcp(reactor: Any, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
     from honeybarrow.tcp_transports import ResilientPort
 
     listener = ResilientPort(port, factory, backlog, interface, reactor)
@@ -33,14 +37,8 @@
 
 
 def _connect_tcp(
-    host: str,
-    port: int,
-    factory: Any,
-    timeout: float = 30.0,
-    bindAddress: Any = None,  # noqa: N803
-) -> Any:
-    from twisted.internet import reactor
-
+    reactor: Any, host: str, port: int, factory: Any, timeout: float = 30.0, bindAddress: Any = None  # noqa: N803
+) -> Any:  # fmt: skip
     from honeybarrow.tcp_transports import ResilientConnector
 
     connector = ResilientConnector(host, port, factory, timeout, bindAddress, reactor)
--- a/honeybarrow/tcp_transports.py
+++ b/honeybarrow/tcp_transports.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
 import time
@@ -124,6 +125,13 @@
 class ResilientClient(_ResilientConnection, tcp.Client):
     """A connection made by this process."""
 
+    def _finishInit(self, whenDone: Any, skt: Any, error: Any, reactor: Any) -> None:  # noqa: N802, N803
+        """Twisted: begin to connect. It would do so a reactor round later, which may be long."""
+        super()._finishInit(whenDone, skt, error, reactor)
+        if whenDone is not None and not self._requiresResolution:
+            with contextlib.suppress(OSError):  # what came of it is seen in the next round
+                skt.connect_ex(self.addr)
+
     def doConnect(self) -> None:  # noqa: N802  Twisted's name
         """Twisted: connect, or see what became of it."""
         try:
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -20,6 +20,7 @@
 from honeybarrow.node.config import ForwarderConfig, ResourceLimits
 from honeybarrow.node.endpoint_list import parse_address, parse_endpoint_list
 from honeybarrow.node.process import ForwarderProcess
+from honeybarrow.reactor import install_transports
 from tests.helpers import settings
 
 _Reactor: Any = selectreactor.SelectReactor
@@ -126,6 +127,7 @@
         self.reactor: Any = _Reactor()
         self.reactors.append(self.reactor)
         self.reactor.seconds = lambda: self.now_s
+        install_transports(self.reactor)
         self.is_stopped = False
         self.reactor.stop = self._stopped
         config = ForwarderConfig(
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import pytest
+
 from honeybarrow.node import descriptor_budget
 from honeybarrow.node.descriptor_budget import (
     FIRST_REQUEST_TIMEOUT_S,
@@ -13,14 +15,16 @@
     DescriptorBudget,
     allocate_descriptors,
     choose_action,
-    eviction_rank,
 )
+from honeybarrow.node.eviction_queue import EvictionQueue
 from tests.platform_bench import (
     SubmissionBench,
     connect_answered_client,
     status_of,
 )
 
+IDLE_S = 2.0  # after an answer, from which on the platform lets a connection be closed
+
 
 def test_new_connections_and_half_requests_time_out(tmp_path: Path) -> None:
     bench = SubmissionBench(tmp_path)
@@ -34,7 +38,7 @@
 def test_connections_stay_until_the_limit_and_then_answered_ones_are_evicted_first(tmp_path: Path) -> None:
     bench = SubmissionBench(tmp_path, max_connections=3)
     quiet = connect_answered_client(bench)
-    bench.clock.pump([0.1] * int(10 * (descriptor_budget.IDLE_AFTER_S + 1)))
+    bench.clock.pump([0.1] * int(10 * (IDLE_S + 1)))
     mute, _ = bench.connect_client()
     bench.clock.pump([0.1] * int(10 * (UNUSED_AFTER_S + 0.2)))
     young = connect_answered_client(bench)
@@ -116,19 +120,27 @@
 
 
 def test_the_order_of_eviction() -> None:
-    order = [
-        (ConnectionState.CLOSING, True, 0.0),
-        (ConnectionState.KEEP_ALIVE, True, descriptor_budget.IDLE_AFTER_S + 1),
-        (ConnectionState.KEEP_ALIVE, True, 0.0),
-        (ConnectionState.NEW, False, UNUSED_AFTER_S + 1),
-        (ConnectionState.NEW, False, 0.0),
-    ]
-    assert [eviction_rank(*each) for each in order] == [0, 1, 2, 3, 4]
-    assert eviction_rank(ConnectionState.READING, False, UNUSED_AFTER_S + 1) == 3
-    assert (
-        eviction_rank(ConnectionState.READING, True, 9.0) is None
-        and eviction_rank(ConnectionState.PROCESSING, False, 9.0) is None
-    )
+    """Within a class the longest there; a change of state within it keeps the place."""
+    queue: EvictionQueue[str, str] = EvictionQueue()
+    for name, state, has_answered in [
+        ("half", ConnectionState.READING, False),
+        ("new", ConnectionState.NEW, False),
+        ("idle", ConnectionState.KEEP_ALIVE, True),
+        ("fresh", ConnectionState.KEEP_ALIVE, True),
+        ("next", ConnectionState.READING, True),
+        ("open", ConnectionState.PROCESSING, False),
+        ("ending", ConnectionState.CLOSING, True),
+    ]:
+        queue.update(name, name, state, has_answered)
+    assert list(queue.candidates(9)) == ["ending", "idle", "fresh", "half", "new"]
+    queue.update("new", "new", ConnectionState.READING, False)
+    queue.update("idle", "idle", ConnectionState.PROCESSING, True)
+    assert list(queue.candidates(9)) == ["ending", "fresh", "half", "new"]
+    queue.update("idle", "idle", ConnectionState.KEEP_ALIVE, True)
+    queue.remove("ending")
+    queue.remove("open")
+    assert list(queue.candidates(9)) == ["fresh", "idle", "half", "new"]
+    assert list(queue.candidates(2)) == ["fresh", "idle"]
 
 
 def test_connection_actions_by_age() -> None:
@@ -151,3 +163,15 @@
         choose_action(ConnectionState.KEEP_ALIVE, True, 999.0) is ConnectionAction.NONE
         and choose_action(ConnectionState.PROCESSING, False, 999.0) is ConnectionAction.NONE
     )
+
+
+def test_a_new_connection_is_rejected_where_each_other_has_an_unread_request(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bench = SubmissionBench(tmp_path, max_connections=3)
+    for _ in range(3):
+        connect_answered_client(bench)
+    monkeypatch.setattr("honeybarrow.node.front.has_unread_bytes", lambda transport: True)
+    _, transport = bench.connect_client()
+    assert status_of(transport) == b"503" and len(bench.front.connections) == 3
+    assert bench.front.eviction_counts == {"rejected": 1}
--- a/tests/test_shutdown_and_kill.py
+++ b/tests/test_shutdown_and_kill.py
@@ -17,7 +17,7 @@
 from honeybarrow.node.shutdown import CLOSE_GRACE_US
 from honeybarrow.node.signals import SignalRequest
 from honeybarrow.recovery import MAX_SHUTDOWN_US
-from tests.crossing import OK, PeerConnection, ProcessKilledError, Rig
+from tests.crossing import NO_CONTENT, OK, PeerConnection, ProcessKilledError, Rig
 from tests.helpers import CLASSES
 
 FULL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
@@ -94,9 +94,14 @@
 
 def _kill_before_first_byte(rig: Rig) -> None:
     sending: Any = node_calls.HttpConnection
-    send, sending.send_request = sending.send_request, _raise_killed
-    rig.advance_until(rig.target.accept_connections, 0.5)
-    rig.run_turns(2)
+    send = sending.send_request
+
+    def stop_and_raise(*given: Any) -> Any:
+        rig.is_stopped = True  # Twisted catches what its calls raise; no further turn is run
+        raise ProcessKilledError
+
+    sending.send_request = stop_and_raise
+    rig.advance_until(lambda: rig.is_stopped, 0.5)
     sending.send_request = send
     pending = rig.process.write_ahead_log.pending_messages.by_id["m1"]
     assert pending.attempt_count == 1 and rig.count_calls("m1") == 0
@@ -278,3 +283,31 @@
     rig.advance_until(lambda: len(rig.platform.accept_connections()) > many)
     assert rig.now_s - sent_at_s < 0.3
     rig.advance_until(lambda: rig.receive_notifications() and not rig.process.notifications.unacknowledged)
+
+
+def test_where_reactor_rounds_are_long_a_notification_leaves_as_soon_as_it_is_connected(rig: Rig) -> None:
+    """Rounds of 0.16 s, as in a crowd: the timeout came before the notification had been written at all."""
+    rig.submit("p1", "pay")
+    rig.read_call().write(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+    decided_s = rig.now_s
+    while not rig.receive_notifications(b""):
+        rig.now_s += 0.16
+        rig.run_turns()
+        assert rig.now_s - decided_s < 0.5
+    first = next(line for line in rig.platform.accept_connections() if b"/reports" in line.received)
+    rig.now_s += 0.16
+    first.write(NO_CONTENT)
+    rig.run_turns()  # its timeout comes before its answer is read
+    assert rig.process.write_ahead_log.pending_messages.by_id == {}, "the answer to the first one counts"
+
+
+def test_a_late_answer_to_a_notification_counts_though_it_was_sent_again(rig: Rig) -> None:
+    rig.submit("p1", "pay")
+    rig.read_call().write(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+    rig.advance_until(lambda: len(rig.receive_notifications(b"")) == 1)
+    first = next(line for line in rig.platform.accept_connections() if b"/reports" in line.received)
+    rig.advance_until(lambda: len(rig.receive_notifications(b"")) == 2)
+    first.write(NO_CONTENT)
+    rig.advance_until(lambda: not rig.process.notifications.unacknowledged, 0.1)
+    rig.advance(3.0)
+    assert len(rig.receive_notifications()) == 2
