A state folder that fails for a while: nothing accepted is lost, none runs or ends twice

Cause: of a folder that fails the log knew only that a write had failed. A segment that could not be removed was forgotten and later ones removed before it, so that completed messages would come back at the next start; one that could not be read was taken for empty and removed; a start in a full folder ended the process; idempotent attempts were withheld, results were reported that were not on disk, and clients got 429. Change: node/segment_files (whole or cut-off writes, removal in order, errors as errors); the log is unavailable until a write succeeds, tried each 0.1 s, logged once each way with what waits; 503 with Retry-After, before the policy hears of it; an event tells the policy, which holds messages that must not run twice and goes on with idempotent ones; a result that is not on disk is notified when it is, or once its message has expired; a process is not ready before it has read its log.

--- a/honeybarrow/delivery/__init__.py
+++ b/honeybarrow/delivery/__init__.py
@@ -14,7 +14,7 @@
     classify_session_refusal,
     classify_timeout,
 )
-from honeybarrow.delivery.results import Delivered, DeliveryResult, Failed, Refused
+from honeybarrow.delivery.results import Delivered, DeliveryResult, Failed, NotRecorded, Refused
 from honeybarrow.delivery.submission import DeliveryCounters, Submission
 
 __all__ = [
@@ -27,6 +27,7 @@
     "Forwarder",
     "MailConnectionPool",
     "MailPayload",
+    "NotRecorded",
     "PoolConfig",
     "Refused",
     "Submission",
--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -15,6 +15,8 @@
 from honeybarrow.events import AttemptFinished, AttemptStatus
 from honeybarrow.message_state import MessageState
 
+NOT_RECORDED_REASON = "its start can't be recorded"
+
 
 @dataclass(slots=True)
 class InFlightMessage:
@@ -78,10 +80,11 @@
         # never written that it may have run: the next incarnation would fail a non-idempotent one untried.
         if reason := self.refusal_reason():
             return reason
+        is_repeatable = self.context.is_idempotent(self.message.submission.class_name)
         is_logged = self.context.message_log.record_attempt_started(
-            self.message.submission.message, self.attempt
+            self.message.submission.message, self.attempt, must_be_kept=not is_repeatable
         )
-        return "" if is_logged else "its begin can't be kept"
+        return "" if is_logged or is_repeatable else NOT_RECORDED_REASON
 
 
 class AttemptRunner:
@@ -106,7 +109,9 @@
         no_slot_free = self.calls_in_flight >= context.settings.slots
         reason = "no slot" if no_slot_free else permit.refusal_reason() or ("" if addresses else "no address")
         # Danger: an attempt whose start is not on disk is taken for one that never was, and repeated.
-        if reason := reason if is_logged else "its begin can't be kept":
+        if not is_logged and not context.is_idempotent(message.submission.class_name):
+            reason = reason or NOT_RECORDED_REASON
+        if reason:
             context.log.warning(
                 "attempt_not_sent",
                 message=action.message,
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -32,6 +32,7 @@
     Delivered,
     DeliveryResult,
     Failed,
+    NotRecorded,
     Refused,
     make_failed_result,
     make_returned_result,
@@ -41,6 +42,7 @@
 from honeybarrow.events import (
     AttemptFinished,
     Event,
+    LogAvailability,
     MembershipUpdate,
     MessageArrived,
     MessageExpired,
@@ -159,6 +161,10 @@
         self._queue_event(submission.make_event())
         return result
 
+    def set_log_availability(self, is_available: bool) -> None:
+        """Tell the policy whether the log of messages can be written."""
+        self._queue_event(LogAvailability(is_available))
+
     def is_known(self, message: str) -> bool:
         """Whether a message of this id is open, or an attempt of it is in flight."""
         return message in self._messages
@@ -237,7 +243,7 @@
                 message.submission.on_accepted()
             elif not message.submission.is_resumed:
                 # Danger: acknowledged all the same, it would be lost with the process. Nothing of it is sent.
-                self._complete(message, Refused(self._draw_retry_after_us(), "it can't be kept"))
+                self._complete(message, NotRecorded(self._draw_retry_after_us(), "it can't be recorded"))
                 self._queue_event(MessageExpired(message.submission.message))
 
     def _adjust_for_queueing(self, event: MessageArrived, now: int) -> MessageArrived:
--- a/honeybarrow/delivery/results.py
+++ b/honeybarrow/delivery/results.py
@@ -28,6 +28,11 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class NotRecorded(Refused):
+    """Final result: refused before it was accepted, since its acceptance can't be recorded now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Failed:
     """Final result: failed, with no promise about the effect.
--- a/honeybarrow/delivery/submission.py
+++ b/honeybarrow/delivery/submission.py
@@ -13,7 +13,7 @@
 from honeybarrow.events import MessageArrived
 from honeybarrow.policy.sender import Sender
 from honeybarrow.ports import AttemptPermit, CallObserver, Clock, Logger, MessageLog, Observer
-from honeybarrow.settings import Settings
+from honeybarrow.settings import Idempotency, Settings
 
 
 class Transport(Protocol):
@@ -111,3 +111,7 @@
     counters: DeliveryCounters = field(default_factory=DeliveryCounters)
     # A Retry-After of theirs has been read, and the policy gets it in the next turn.
     backing_off_destinations: set[int] = field(default_factory=set)
+
+    def is_idempotent(self, class_name: str) -> bool:
+        """Return whether messages of a class may run any number of times."""
+        return self.sender.classes[class_name].idempotency is Idempotency.IDEMPOTENT
--- a/honeybarrow/events.py
+++ b/honeybarrow/events.py
@@ -143,6 +143,13 @@
     content: bytes = b""
 
 
+@dataclass(slots=True, frozen=True)
+class LogAvailability:
+    """Whether the start of an attempt can be recorded now, as one that must not run twice needs."""
+
+    is_available: bool
+
+
 Event = (
     MessageArrived
     | AttemptFinished
@@ -152,4 +159,5 @@
     | MembershipUpdate
     | HealthCheckFinished
     | PeerMessageReceived
+    | LogAvailability
 )
--- a/honeybarrow/node/message_event_log.py
+++ b/honeybarrow/node/message_event_log.py
@@ -42,12 +42,12 @@
 class MessageEventLog:
     """Writes one line for each event of a message, at a bounded rate.
 
-    ``clock_s``: a monotonic clock in seconds; ``incarnation``: names this process among those that used the
-    same state folder.
+    ``clock_s``: a monotonic clock in seconds.
     """
 
-    def __init__(self, clock_s: Callable[[], float], incarnation: str) -> None:
-        self._clock_s, self.incarnation = clock_s, incarnation
+    def __init__(self, clock_s: Callable[[], float], incarnation: str = "") -> None:
+        self._clock_s = clock_s
+        self.incarnation = incarnation  # names this process among those that used the same state folder
         self._budgets: dict[str, _LineBudget] = {}  # by event, whose names the program gives
 
     def write(self, event: str, message: str, **fields: Any) -> None:
--- a/honeybarrow/node/notifications.py
+++ b/honeybarrow/node/notifications.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.protocol import Protocol, connectionDone
@@ -21,6 +21,7 @@
 # Danger: a notification counts as missing 0.3 s after its message's deadline, so a silent connection is
 # abandoned soon.
 MIN_ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S = 0.2, 1.0
+HOLD_CHECK_S = 0.05  # between looks at notifications that may not be sent yet
 CONNECT_TIMEOUT_S = 3.0  # of a connection, beside which others are tried
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 1.0  # first delay after a failure, doubled up to the second
 MAX_IDLE_S = 1.5  # after which a keep-alive connection carries no further batch
@@ -93,8 +94,8 @@
 class NotificationSender:
     """Sends notifications in order until the platform acknowledges them.
 
-    ``before_send`` is called before a batch leaves, to commit what it reports; ``on_acknowledged`` gets the
-    messages whose notifications the platform has acknowledged.
+    ``select_sendable`` returns those of some messages that may be notified now, whose results are on disk;
+    ``on_acknowledged`` gets the messages whose notifications the platform has acknowledged.
     """
 
     def __init__(
@@ -102,11 +103,11 @@
         network: Network,
         clock: Clock,
         address: tuple[str, int],
-        before_send: Callable[[], object],
+        select_sendable: Callable[[Iterable[str]], list[str]],
         on_acknowledged: Callable[[list[str]], None],
     ) -> None:
         self.network, self.clock, self.address = network, clock, address
-        self._before_send, self._on_acknowledged = before_send, on_acknowledged
+        self._select_sendable, self._on_acknowledged = select_sendable, on_acknowledged
         self.unacknowledged: dict[str, str] = {}  # lines by message; bounded by the messages in the log
         self._active: _NotificationConnection | None = None
         # Without an answer in time, and sent again since; an answer that still comes counts.
@@ -153,9 +154,11 @@
         self._timer = None
         if self._active is not None or not self.unacknowledged:
             return
-        self._before_send()
+        batch = self._select_sendable(self.unacknowledged)[:MAX_BATCH_SIZE]
+        if not batch:
+            self._timer = self.clock.callLater(HOLD_CHECK_S, self._send_batch)
+            return
         connection, self._idle = self._idle, None
-        batch = [message for message, _ in zip(self.unacknowledged, range(MAX_BATCH_SIZE), strict=False)]
         if connection is not None:
             if self.clock.seconds() - connection.idle_since_s < MAX_IDLE_S and is_open_and_quiet(
                 connection.transport
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -33,6 +33,7 @@
 MAX_LOG_DISK_SHARE = 0.8  # of the state folder's bound, for the write-ahead log
 # For the first list where lists are pushed: a connect whose first SYN is lost needs 1 s.
 FIRST_LIST_TIMEOUT_S = 1.2
+LOG_RETRY_INTERVAL_S = 0.1  # while the state folder fails
 LISTEN_BACKLOG = 512
 LISTEN_RETRY_DELAY_S = 0.2
 LISTEN_TIMEOUT_S = 20.0  # a start has to be over within 30 s
@@ -63,8 +64,7 @@
         self._clocks, self._on_failure = clocks, on_failure
         budget = allocate_descriptors(config.limits.descriptors, config.settings.slots)
         self.write_ahead_log = self._build_write_ahead_log()
-        incarnation = str(self.write_ahead_log.incarnation)
-        self.message_events = MessageEventLog(reactor.seconds, incarnation)
+        self.message_events = MessageEventLog(reactor.seconds)
         self.endpoints = EndpointTable()
         self.pool = self._build_pool(budget)
         self.forwarder = self._build_forwarder()
@@ -77,6 +77,8 @@
         self.status_log = self._build_status_log()
         self.listener: Any = None
         self._first_list_timer: Any = None  # while the first list is waited for
+        self._log_retry: Any = None  # while the log can't be written
+        self.write_ahead_log.on_availability_changed = self._on_log_availability
 
     # parts
 
@@ -128,7 +130,7 @@
             self.reactor,
             self.reactor,
             self.config.discovery_address,
-            self.write_ahead_log.commit,
+            lambda messages: self.submissions.select_notifiable(messages),
             lambda messages: self.submissions.on_notifications_acknowledged(messages),
         )
 
@@ -198,6 +200,10 @@
         if self._first_list_timer is not None and self._first_list_timer.active():
             self._first_list_timer.cancel()
         self._first_list_timer = None
+        if not self.write_ahead_log.load():
+            self.reactor.callLater(LOG_RETRY_INTERVAL_S, self._recover)
+            return
+        self.message_events.incarnation = str(self.write_ahead_log.incarnation)
         planned_us = self.write_ahead_log.now_us()
         timeline = self.write_ahead_log.timeline
         pending = list(self.write_ahead_log.pending_messages.by_id.values())
@@ -245,6 +251,18 @@
             settings.idle_timeout_us / 1e6, settings.connect_timeout_us / 1e6, settings.senders,
         )  # fmt: skip
 
+    # log
+
+    def _on_log_availability(self, is_available: bool) -> None:
+        self.forwarder.set_log_availability(is_available)
+        if not is_available and self._log_retry is None:
+            self._log_retry = self.reactor.callLater(LOG_RETRY_INTERVAL_S, self._retry_log)
+
+    def _retry_log(self) -> None:
+        self._log_retry = None
+        if not self.write_ahead_log.retry():
+            self._log_retry = self.reactor.callLater(LOG_RETRY_INTERVAL_S, self._retry_log)
+
     # endpoint list
 
     def _on_list_update(self, update: EndpointList) -> None:
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from twisted.internet.defer import Deferred
 
@@ -15,6 +15,7 @@
     DeliveryResult,
     Failed,
     Forwarder,
+    NotRecorded,
     Refused,
     Submission,
     ignore_cancelled,
@@ -49,8 +50,9 @@
         if self.is_accepted:
             self.service.on_result(self.message, answer)
         elif isinstance(answer, Refused):
+            status = 503 if isinstance(answer, NotRecorded) else 429
             retry_after = _retry_after_field(answer.retry_after_us)
-            self.send_answer(http.encode_response(429, retry_after, answer.reason.encode()), False)
+            self.send_answer(http.encode_response(status, retry_after, answer.reason.encode()), False)
         else:
             self.send_answer(http.encode_response(500), False)
 
@@ -164,6 +166,8 @@
             return "not ready"
         if not self.is_destination_listed(submitted.destination):
             return "destination not listed"  # retriable, since the destination may be new and its update late
+        if not self.write_ahead_log.is_available:
+            return "can't be recorded"
         if not self.write_ahead_log.try_reserve(submitted.message, len(submitted.body)):
             return "no room on disk"
         return ""
@@ -227,6 +231,22 @@
             self._unacknowledged.setdefault(order_key, {})[result.message] = None
         self.notifications.add(result)
 
+    def select_notifiable(self, messages: Iterable[str]) -> list[str]:
+        """Return those messages whose final result may be notified now.
+
+        Danger: a result that is not on disk does not outlive the process, and the next one would go on with
+        the message after its end. So it is held until it is recorded, or the message has expired, after
+        which no process forwards it.
+        """
+        if self.write_ahead_log.commit():
+            return list(messages)
+        now_us, pending = self.write_ahead_log.now_us(), self.write_ahead_log.pending_messages.by_id
+        return [
+            message
+            for message in messages
+            if message not in pending or pending[message].accepted.expires_at_us <= now_us
+        ]
+
     def _order_key_of(self, message: str) -> str:
         pending = self.write_ahead_log.pending_messages.by_id.get(message)
         return pending.accepted.order_key if pending is not None else ""
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -9,14 +9,14 @@
 from __future__ import annotations
 
 import logging
-import os
-from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from honeybarrow.clocks import Clocks
 from honeybarrow.events import AttemptStatus
 from honeybarrow.log_timeline import ClockAnchor, start_timeline
 from honeybarrow.node.log_records import decode_records, encode_record, max_bytes_of_message
+from honeybarrow.node.segment_files import Segment, SegmentFiles
 from honeybarrow.recovery import (
     AttemptFinished,
     AttemptStarted,
@@ -27,45 +27,44 @@
     PendingMessages,
 )
 
-BLOCK_BYTES = 512  # the platform counts a file's size in blocks of so many
 SEGMENT_COUNT = 16  # a segment is closed at this part of the bound
 MAX_PENDING_SHARE = 0.35  # of the bound, for the records of pending messages
 COMPACTION_SHARE = 0.5  # of the bound, from which on the oldest segment is compacted
+MIN_SEGMENT_BYTES = 2048
 _UNWRITTEN_SEGMENT = -1  # of messages whose record of acceptance is not committed yet
 log = logging.getLogger("honeybarrow.node")
 
 
+def _ignore(is_available: bool) -> None: ...
+
+
 class WriteAheadLog:
     """Records accepted messages until they are completed; see :class:`honeybarrow.ports.MessageLog`.
 
-    ``folder``: where the segments are; ``max_bytes``: bound of all files together.
+    ``folder``: where the segments are; ``max_bytes``: bound of all files together. A folder that fails makes
+    the log unavailable until a write succeeds: nothing is accepted, all other records wait in their order.
     """
 
     def __init__(self, folder: str, max_bytes: int, clocks: Clocks) -> None:
-        self.folder, self.max_bytes, self._clocks = folder, max_bytes, clocks
-        self.max_segment_bytes = max(4 * BLOCK_BYTES, max_bytes // SEGMENT_COUNT)
+        self.files, self.max_bytes, self._clocks = SegmentFiles(folder), max_bytes, clocks
+        self.max_segment_bytes = max(MIN_SEGMENT_BYTES, max_bytes // SEGMENT_COUNT)
         self.pending_messages = PendingMessages()
-        self.has_write_failed = False  # the last one
-        self._has_torn_tail = False  # the last segment ends in a part of a record
+        self.is_loaded = False  # the records of earlier processes are read
+        self.is_available = True  # the last write succeeded
+        self.on_availability_changed: Callable[[bool], object] = _ignore
+        self._unavailable_since_us = 0
+        self._failed_operations: set[str] = set()  # logged, and not succeeded since
         self._uncommitted: list[LogRecord] = []
-        self._segment_bytes: OrderedDict[int, int] = OrderedDict()  # size of each segment, oldest first
         self._segment_of_message: dict[str, int] = {}  # where a message's record of acceptance is
         self._messages_in_segment: dict[int, dict[str, None]] = {}
         self._reserved_bytes = 0  # for messages admitted since the last commit
         self._pending_bytes = 0  # upper bound of what all pending messages take
-        self._descriptor = -1
         self._last_sequence_number = 0  # messages accepted so far, by all processes whose records are here
         self._newest_time_us: int | None = None  # on record
         self._anchor: ClockAnchor | None = None  # of the newest segment with records
-        self._read_segments()
-        self.timeline = start_timeline(self._anchor, self._newest_time_us, clocks.read())
-        self._open_next_segment()
-        self._first_segment = next(reversed(self._segment_bytes))
-
-    @property
-    def incarnation(self) -> int:
-        """A number of this process that no other process that used the folder has had: its first segment."""
-        return self._first_segment
+        self.incarnation = 0  # a number that no other process that used the folder has had, once it is loaded
+        self.timeline = start_timeline(None, None, clocks.read())
+        self.load()
 
     def now_us(self) -> int:
         """Return the present log time, see :mod:`honeybarrow.log_timeline`."""
@@ -73,33 +72,31 @@
 
     # reading
 
-    def _segment_path(self, segment: int) -> str:
-        return os.path.join(self.folder, f"journal-{segment:08d}")
-
-    def _read_segments(self) -> None:
-        segments = []
-        for name in os.listdir(self.folder):
-            prefix, _, digits = name.partition("-")
-            if prefix == "journal" and digits.isdigit():
-                segments.append(int(digits))
-        for segment in sorted(segments):
-            data = self._read_segment(segment)
-            self._segment_bytes[segment] = len(data)
-            for number, record in enumerate(decode_records(data)):
-                if isinstance(record, ClockAnchor):
-                    self._note_time(record.log_time_us)
-                    self._anchor = record
-                else:
-                    self._anchor = self._anchor if number else None  # an earlier build wrote this segment
-                    self._apply_record(record, segment)
-
-    def _read_segment(self, segment: int) -> bytes:
+    def load(self) -> bool:
+        """Read the records of earlier processes; whether that is done. Nothing may be recorded before."""
+        if self.is_loaded:
+            return True
         try:
-            with open(self._segment_path(segment), "rb") as file:
-                return file.read()
+            segments = self.files.read_all()
         except OSError as error:
-            _log_os_error("segment_read_failed", error, segment)
-            return b""
+            self._log_failure("log_read_failed", error)
+            return False
+        for segment in segments:
+            self._apply_segment(segment)
+        self.timeline = start_timeline(self._anchor, self._newest_time_us, self._clocks.read())
+        self.incarnation = self.files.newest + 1
+        self.is_loaded = True
+        self._begin_segment()
+        return True
+
+    def _apply_segment(self, segment: Segment) -> None:
+        for number, record in enumerate(decode_records(segment.data)):
+            if isinstance(record, ClockAnchor):
+                self._note_time(record.log_time_us)
+                self._anchor = record
+            else:
+                self._anchor = self._anchor if number else None  # an earlier build wrote this segment
+                self._apply_record(record, segment.number)
 
     def _apply_record(self, record: LogRecord, segment: int) -> None:
         message = record.message
@@ -132,12 +129,20 @@
     @property
     def disk_usage_bytes(self) -> int:
         """Size of all segments, as the platform counts it."""
-        return sum(-(-size // BLOCK_BYTES) * BLOCK_BYTES for size in self._segment_bytes.values())
+        return self.files.disk_usage_bytes
+
+    @property
+    def waiting_record_count(self) -> int:
+        """Records that are not on disk yet."""
+        return len(self._uncommitted)
 
     def try_reserve(self, message: str, body_bytes: int) -> bool:
         """Reserve space for all records of a message until the next commit; whether there was enough."""
         size = max_bytes_of_message(message, body_bytes)
-        if self._pending_bytes + self._reserved_bytes + size > MAX_PENDING_SHARE * self.max_bytes:
+        pending = self._pending_bytes + self._reserved_bytes + size
+        # The files shrink behind the pending messages, but not while segments can't be removed.
+        used = self.files.disk_usage_bytes + self._reserved_bytes + size
+        if pending > MAX_PENDING_SHARE * self.max_bytes or used > self.max_bytes:
             return False
         self._reserved_bytes += size
         return True
@@ -173,12 +178,18 @@
             )
         )
 
-    def record_attempt_started(self, message: str, attempt: int) -> bool:
-        """Commit the start of an attempt at once; whether it is on disk."""
+    def record_attempt_started(self, message: str, attempt: int, must_be_kept: bool = True) -> bool:
+        """Commit the start of an attempt at once; whether it is on disk.
+
+        If it is not and ``must_be_kept``, the attempt does not start, and its record is dropped.
+        """
         reserved_bytes = self._reserved_bytes  # of messages whose acceptance the turn's own commit writes
-        self.append(AttemptStarted(message, attempt, self.now_us()))
+        record = AttemptStarted(message, attempt, self.now_us())
+        self.append(record)
         is_committed = self.commit()
         self._reserved_bytes = reserved_bytes
+        if not is_committed and must_be_kept:
+            self._uncommitted = [each for each in self._uncommitted if each is not record]
         return is_committed
 
     def record_attempt_finished(
@@ -215,83 +226,90 @@
         self._remove_old_segments()
         return True
 
+    def retry(self) -> bool:
+        """Try whether the folder can be written again; with what waits, if anything does."""
+        return self.commit() if self._uncommitted else self._write_records([])
+
     # segments
 
     def _write_records(self, records: list[LogRecord]) -> bool:
-        if self._has_torn_tail:  # Danger: reading ends at a torn record, so nothing may be written behind one
-            self._open_next_segment()
-        if self._has_torn_tail:
-            return False
-        segment = next(reversed(self._segment_bytes))
-        data = b"".join(map(encode_record, records))
-        if self._segment_bytes[segment] == 0:
-            data = encode_record(self._make_anchor()) + data
-        written = self._write_bytes(data)
-        self._segment_bytes[segment] += written
-        self.has_write_failed = written < len(data)
-        if self.has_write_failed:
-            self._has_torn_tail = written > 0
+        try:
+            if not self.files.can_append:
+                self.files.open_next()
+            segment = self.files.newest
+            data = b"".join(map(encode_record, records))
+            if self.files.sizes[segment] == 0 or not records:
+                data = encode_record(self._make_anchor()) + data
+            self.files.append(data)
+        except OSError as error:
+            self._on_write_failed(error, len(records))
             return False
         for record in records:
             self._apply_record(record, segment)
-        if self._segment_bytes[segment] >= self.max_segment_bytes:
-            self._open_next_segment()
+        if self.files.sizes[segment] >= self.max_segment_bytes:
+            self._begin_segment()
+        self._on_write_succeeded(len(records))
         return True
 
     def _make_anchor(self) -> ClockAnchor:
         reading = self._clocks.read()
         return ClockAnchor(reading, self.timeline.to_log_time_us(reading.monotonic_us))
 
-    def _write_bytes(self, data: bytes) -> int:
+    def _begin_segment(self) -> None:
+        """Continue in a new segment; if none can be created, the last one grows on."""
         try:
-            return os.write(self._descriptor, data)
+            self.files.open_next()
         except OSError as error:
-            if not self.has_write_failed:  # logged once, however many writes fail in a row
-                _log_os_error("log_write_failed", error)
-            return 0
-
-    def _open_next_segment(self) -> None:
-        """Continue in a new segment; if none can be created, the last one grows on.
-
-        :raises OSError: if there is no segment to write to at all.
-        """
-        segment = next(reversed(self._segment_bytes), 0) + 1
-        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
-        try:
-            descriptor = os.open(self._segment_path(segment), flags, 0o600)
-        except OSError as error:
-            if self._descriptor < 0:
-                raise
-            _log_os_error("segment_create_failed", error, segment)
-            return
-        if self._descriptor >= 0:
-            os.close(self._descriptor)
-        self._descriptor, self._segment_bytes[segment], self._has_torn_tail = descriptor, 0, False
+            self._log_failure("segment_create_failed", error)
+        else:
+            self._failed_operations.discard("segment_create_failed")
 
     def _remove_old_segments(self) -> None:
         """Remove segments without pending messages; compact the oldest while files are near their bound."""
-        while len(self._segment_bytes) > 1:
-            oldest = next(iter(self._segment_bytes))
+        while len(self.files.sizes) > 1:
+            oldest = next(iter(self.files.sizes))
             messages = self._messages_in_segment.get(oldest)
             if messages:
-                if self.disk_usage_bytes < COMPACTION_SHARE * self.max_bytes:
+                if self.files.disk_usage_bytes < COMPACTION_SHARE * self.max_bytes:
                     return
                 pending = [self.pending_messages.by_id[message] for message in messages]
                 if not self._write_records([each.to_record() for each in pending]):
                     return  # Danger: the segment still holds the only record of pending messages
-            self._messages_in_segment.pop(oldest, None)
-            del self._segment_bytes[oldest]
             try:
-                os.unlink(self._segment_path(oldest))
+                self.files.remove(oldest)
             except OSError as error:
-                _log_os_error("segment_remove_failed", error, oldest)
+                # Danger: were a later one removed before it, a message that was completed there would be
+                # pending again at the next start.
+                self._log_failure("segment_remove_failed", error)
+                return
+            self._failed_operations.discard("segment_remove_failed")
+            self._messages_in_segment.pop(oldest, None)
 
     def close(self) -> None:
         """Commit what is left and close the file."""
-        self.commit()
-        os.close(self._descriptor)
-        self._descriptor = -1
+        if not self.commit():
+            log.error("log_closed_incomplete waiting_records=%d", len(self._uncommitted))
+        self.files.close()
 
+    # availability
 
-def _log_os_error(event: str, error: OSError, segment: int | None = None) -> None:
-    log.error("%s segment=%s error=%s", event, "last" if segment is None else segment, error)
+    def _on_write_failed(self, error: OSError, record_count: int) -> None:
+        if not self.is_available:
+            return
+        self.is_available, self._unavailable_since_us = False, self._clocks.monotonic_us()
+        log.error("log_write_failed error=%s waiting_records=%d accepting=False", error, record_count)
+        self.on_availability_changed(False)
+
+    def _on_write_succeeded(self, record_count: int) -> None:
+        if self.is_available:
+            return
+        self.is_available = True
+        failed_ms = (self._clocks.monotonic_us() - self._unavailable_since_us) // 1000
+        log.info("log_write_recovered waiting_records=%d failed_ms=%d", record_count, failed_ms)
+        self.on_availability_changed(True)
+
+    def _log_failure(self, operation: str, error: OSError) -> None:
+        """Log a failed operation once, however often it is tried again."""
+        if operation not in self._failed_operations:
+            self._failed_operations.add(operation)
+            log.error("%s error=%s retrying=True", operation, error)
--- a/honeybarrow/policy/admission.py
+++ b/honeybarrow/policy/admission.py
@@ -152,7 +152,13 @@
     """Return whether it is due and not behind another message of its key; batches look for themselves."""
     key = message.order_key
     is_first = key is None or state.order_queues[key][0] is message
-    return message.retry_at_us <= state.now and (is_first or message.destination.kind.max_batch_size > 1)
+    is_in_order = is_first or message.destination.kind.max_batch_size > 1
+    return message.retry_at_us <= state.now and is_in_order and _can_be_recorded(state, message)
+
+
+def _can_be_recorded(state: SenderState, message: Message) -> bool:
+    """Return whether an attempt may start as far as the log goes: one that is not on disk may be repeated."""
+    return state.is_log_available or message.message_class.idempotency is Idempotency.IDEMPOTENT
 
 
 def choose_endpoint(state: SenderState, message: Message) -> records.EndpointRecord | None:
@@ -195,6 +201,7 @@
         (message.is_completed or message.in_flight > 0)  # completed, or in flight already: no hedging
         or len(message.attempts) >= state.settings.max_attempts
         or message.destination is not endpoint.destination  # another destination's endpoint
+        or not _can_be_recorded(state, message)  # its start would not outlive the process
         or not endpoint.is_usable  # it drains or is gone
         or endpoint.scope.backoff_until_us > now  # Retry-After
         or now > latest_start_us(message, DEADLINE_MARGIN_US)  # hard cap, key window, or a second effect
--- a/honeybarrow/policy/sender.py
+++ b/honeybarrow/policy/sender.py
@@ -5,7 +5,14 @@
 
 from honeybarrow import events as event_types
 from honeybarrow.actions import Action, SetTimer, Subscribe
-from honeybarrow.events import AttemptFinished, MembershipUpdate, MessageArrived, MessageExpired, TimerFired
+from honeybarrow.events import (
+    AttemptFinished,
+    LogAvailability,
+    MembershipUpdate,
+    MessageArrived,
+    MessageExpired,
+    TimerFired,
+)
 from honeybarrow.policy import admission, lifecycle, membership
 from honeybarrow.policy.backoff import min_retries
 from honeybarrow.sender_state import NEVER, SenderState, TenantQuota, complete
@@ -62,6 +69,9 @@
             complete(state, state.messages[event.message])
         elif isinstance(event, MembershipUpdate):
             membership.on_membership_update(state, event)
+        elif isinstance(event, LogAvailability):
+            state.is_log_available = event.is_available
+            state.touched.update((each.index, each) for each in state.destinations.values())
         elif event == TimerFired(membership.POLL_TIMER):
             state.actions.append(Subscribe())
         elif event == TimerFired(WAKE_TIMER):
--- a/honeybarrow/ports.py
+++ b/honeybarrow/ports.py
@@ -163,8 +163,11 @@
     def record_accepted(self, submission: Any) -> None:
         """Record a message that was accepted."""
 
-    def record_attempt_started(self, message: str, attempt: int) -> bool:
-        """Record the start of an attempt at once; return whether that could be done."""
+    def record_attempt_started(self, message: str, attempt: int, must_be_kept: bool) -> bool:
+        """Record the start of an attempt at once; return whether that could be done.
+
+        One that could not be and ``must_be_kept`` is forgotten, since the attempt does not start.
+        """
 
     def record_attempt_finished(
         self, message: str, attempt: int, status: AttemptStatus, not_run: bool
@@ -184,7 +187,7 @@
     def record_accepted(self, submission: Any) -> None:
         """Record a message that was accepted."""
 
-    def record_attempt_started(self, message: str, attempt: int) -> bool:
+    def record_attempt_started(self, message: str, attempt: int, must_be_kept: bool) -> bool:
         """Record nothing; an attempt may always start."""
         return True
 
--- a/honeybarrow/sender_state.py
+++ b/honeybarrow/sender_state.py
@@ -152,6 +152,7 @@
     is_deadline_ordered: bool  # whether within a group the message that expires first is the most urgent
     quotas: dict[str, TenantQuota]
     now: int = 0
+    is_log_available: bool = True  # the start of an attempt can be recorded
     actions: list[Action] = field(default_factory=list)
     endpoints: dict[str, EndpointRecord] = field(default_factory=dict)
     destinations: dict[int, Destination] = field(default_factory=dict)
