One guard for forwarding, repeating, ending and starting; violations are counted by rule

Change: message_guard (no I/O, no clock) keeps its own account of each message and endpoint; each first byte, 202, final result, notification, close over a request and resumed message asks it. A no that should have been prevented is refused, counted by rule in the status line, logged with id and state, and raised under tests. Sender.can_start, the set of destinations that back off, and the order keys of pending notifications are gone, since the guard knows them; under run the margin for a process held up (150 ms, at most an eighth of a deadline or window) stands in it.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -13,8 +13,10 @@
 from honeybarrow.delivery.results import DeliveryResult
 from honeybarrow.delivery.submission import DeliveryContext, Submission
 from honeybarrow.events import AttemptFinished, AttemptStatus
+from honeybarrow.message_guard import Refusal
 from honeybarrow.message_state import MessageState
 
+KEY_RESTING_STATUSES = (AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED)
 NOT_RECORDED_REASON = "its start can't be recorded"
 
 
@@ -66,13 +68,14 @@
     def refusal_reason(self) -> str:
         """Why no byte of it may be written now; empty if it may."""
         if self.message.is_completed:
-            return "its message is over"
+            return Refusal.ENDED.value
         if self.time_left_us() < 0:
-            return "too late to start"
-        can_start = self.context.sender.can_start(self.context.now_us(), self.target)
-        if not can_start or self.message.submission.destination in self.context.backing_off_destinations:
-            return "the endpoint drains or has told to wait"
-        return "" if self.context.can_begin(self.message.submission) else "stopping"
+            return Refusal.EXPIRED.value
+        context = self.context
+        refusal = context.guard.may_forward(
+            self.message.submission.message, self.target, context.now_us(), context.get_shutdown_age_us()
+        )
+        return "" if refusal is None else refusal.value
 
     def record_start(self) -> str:
         """Log that the attempt begins, right before its first byte; why it may not, empty if it may."""
@@ -80,9 +83,11 @@
         # never written that it may have run: the next incarnation would fail a non-idempotent one untried.
         if reason := self.refusal_reason():
             return reason
+        name = self.message.submission.message
+        self.context.guard.on_attempt_started(name, self.target, self.context.now_us())
         is_repeatable = self.context.is_idempotent(self.message.submission.class_name)
         is_logged = self.context.message_log.record_attempt_started(
-            self.message.submission.message, self.attempt, must_be_kept=not is_repeatable
+            name, self.attempt, must_be_kept=not is_repeatable
         )
         return "" if is_logged or is_repeatable else NOT_RECORDED_REASON
 
@@ -182,9 +187,10 @@
             state_after=message.state.value,
             time_left_us=message.time_left_us(context.now_us()),
         )
-        if outcome.retry_after_us > 0:
-            context.backing_off_destinations.add(message.submission.destination)
         completes = outcome.status is AttemptStatus.OK or outcome.is_completed
+        now_us, rests_key = context.now_us(), outcome.status in KEY_RESTING_STATUSES
+        context.guard.on_attempt_finished(name, now_us, outcome.not_run, completes, rests_key)
+        context.guard.on_retry_after(target, now_us, outcome.retry_after_us)
         context.message_log.record_attempt_finished(name, attempt, outcome.status, outcome.not_run)
         event = AttemptFinished(
             name,
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -48,6 +48,7 @@
     MessageExpired,
     TimerFired,
 )
+from honeybarrow.message_guard import MessageGuard, Refusal, Result, Violation
 from honeybarrow.policy.sender import Sender
 from honeybarrow.ports import (
     CallObserver,
@@ -61,6 +62,13 @@
 )
 from honeybarrow.settings import Settings
 
+_RESULT_OF_TYPE = {
+    Delivered: Result.DELIVERED,
+    Refused: Result.RETURNED,
+    NotRecorded: Result.RETURNED,
+    Failed: Result.FAILED,
+}
+
 
 def _ignore(*_: object) -> None: ...
 
@@ -69,7 +77,7 @@
     """The delivery core of one process.
 
     ``get_addresses`` tells where a target listens, ``request_membership`` asks the register, ``on_crash`` is
-    told of a policy that raised.
+    told of a policy that raised. ``max_stall_us``: see :class:`honeybarrow.message_guard.MessageGuard`.
     """
 
     def __init__(
@@ -86,7 +94,8 @@
         observer: Observer | None = None,
         get_partner_name: Callable[[int], str] = str,
         message_log: MessageLog | None = None,
-        can_begin: Callable[[Submission], bool] = lambda submission: True,
+        get_shutdown_age_us: Callable[[], int | None] = lambda: None,
+        max_stall_us: int = 0,
         call_observer: CallObserver | None = None,
     ) -> None:
         self.settings, self.sender, self.now_us, self.log = settings, Sender(settings, seed), now_us, log
@@ -95,6 +104,7 @@
             on_crash,
             get_partner_name,
         )
+        self.guard = MessageGuard(settings, self._on_guard_violation, max_stall_us)
         self.context = DeliveryContext(
             settings,
             self.sender,
@@ -106,7 +116,8 @@
             observer or NullObserver(),
             call_observer or NullCallObserver(),
             message_log or NullMessageLog(),
-            can_begin,
+            self.guard,
+            get_shutdown_age_us,
         )
         self.counters, self.rng = self.context.counters, random.Random(seed)
         self._attempts = AttemptRunner(self.context, self._on_attempt_finished)
@@ -146,6 +157,7 @@
         message = InFlightMessage(submission, result, self.now_us(), submission.attempts)
         message.is_ambiguous = submission.ambiguous_age_us is not None
         self._messages[name] = message
+        self._open_account(submission, message.submitted_us)
         self._arrived_this_turn.append(message)
         self._open_count += 1
         self.counters.accepted += 1
@@ -161,6 +173,18 @@
         self._queue_event(submission.make_event())
         return result
 
+    def _open_account(self, submission: Submission, now_us: int) -> None:
+        age_us = submission.ambiguous_age_us
+        self.guard.on_accepted(
+            submission.message,
+            submission.class_name,
+            now_us + submission.time_left_us,
+            submission.order_key,
+            submission.is_resumed,
+            submission.attempts,
+            None if age_us is None else now_us - age_us,
+        )
+
     def set_log_availability(self, is_available: bool) -> None:
         """Tell the policy whether the log of messages can be written."""
         self._queue_event(LogAvailability(is_available))
@@ -171,6 +195,7 @@
 
     def apply_membership_update(self, update: MembershipUpdate) -> None:
         """Tell the policy of a change of the endpoint list."""
+        self.guard.on_endpoint_list(update)
         self._queue_event(update)
 
     @property
@@ -203,7 +228,6 @@
     def _run_turn(self) -> None:
         self._is_turn_scheduled = False
         events, self._pending_events = self._pending_events, []
-        self.context.backing_off_destinations.clear()
         # Danger: a clock that steps back would end the process by the policy's own check.
         now = self._last_turn_us = max(self._last_turn_us, self.now_us())
         # A busy reactor comes to a message late; its time has run since it was submitted, not since now.
@@ -230,6 +254,16 @@
         self.fail_all("internal fault")
         self.on_crash(error)
 
+    def _on_guard_violation(self, violation: Violation) -> None:
+        self.log.error(
+            "guard_violation",
+            rule=violation.rule.value,
+            question=violation.question,
+            refusal=violation.refusal.value,
+            message=violation.message,
+            state=violation.state.value if violation.state else None,
+        )
+
     def _commit_turn(self, actions: list[Action]) -> None:
         """Before anything of this turn leaves: log what was accepted and what ended, then acknowledge it."""
         arrived, self._arrived_this_turn = self._arrived_this_turn, []
@@ -240,7 +274,9 @@
         self._is_turn_logged = self.context.message_log.commit()
         for message in accepted:
             if self._is_turn_logged:
-                message.submission.on_accepted()
+                self.guard.on_recorded(message.submission.message)
+                if self.guard.may_acknowledge(message.submission.message) is None:
+                    message.submission.on_accepted()
             elif not message.submission.is_resumed:
                 # Danger: acknowledged all the same, it would be lost with the process. Nothing of it is sent.
                 self._complete(message, NotRecorded(self._draw_retry_after_us(), "it can't be recorded"))
@@ -295,11 +331,15 @@
         """Give the final result; nothing else does."""
         if message.is_completed:
             return
+        name = message.submission.message
+        if (refusal := self.guard.may_end(name, _RESULT_OF_TYPE[type(result)])) is not None:
+            if refusal is Refusal.ENDED:
+                return
+            result = Failed(refusal.value)  # the safe side: it promises nothing
         state_before = message.state
         message.is_completed = True
         self._open_count -= 1
         self.counters.count_result(result)
-        name = message.submission.message
         now_us = self.now_us()
         elapsed_us, left_us = now_us - message.submitted_us, message.time_left_us(now_us)
         self.context.observer.message_completed(
@@ -315,8 +355,8 @@
             state_before=state_before.value,
             **({"reason": result.reason} if not isinstance(result, Delivered) else {}),
         )
-        self._schedule_removal(message)
         message.result.callback(result)
+        self._schedule_removal(message)
         self._notify_if_drained()
 
     def _withdraw(self, name: str) -> None:
@@ -325,6 +365,7 @@
         if message is None or message.is_completed:
             return
         state_before = message.state
+        self.guard.on_withdrawn(name)
         message.is_completed = message.is_withdrawn = True
         self._open_count -= 1
         self.counters.withdrawn += 1
@@ -349,6 +390,7 @@
 
     def _schedule_removal(self, message: InFlightMessage) -> None:
         if message.is_completed and message.attempts_in_flight == 0:
+            self.guard.on_settled(message.submission.message)
             self._completed.append(message.submission.message)
 
     def _notify_if_drained(self) -> None:
--- a/honeybarrow/delivery/submission.py
+++ b/honeybarrow/delivery/submission.py
@@ -11,6 +11,7 @@
 from honeybarrow.delivery.outcome import AttemptOutcome
 from honeybarrow.delivery.results import DeliveryResult
 from honeybarrow.events import MessageArrived
+from honeybarrow.message_guard import MessageGuard
 from honeybarrow.policy.sender import Sender
 from honeybarrow.ports import AttemptPermit, CallObserver, Clock, Logger, MessageLog, Observer
 from honeybarrow.settings import Idempotency, Settings
@@ -107,10 +108,9 @@
     observer: Observer
     call_observer: CallObserver
     message_log: MessageLog
-    can_begin: Callable[[Submission], bool]
+    guard: MessageGuard
+    get_shutdown_age_us: Callable[[], int | None]  # since SIGTERM; None if there was none
     counters: DeliveryCounters = field(default_factory=DeliveryCounters)
-    # A Retry-After of theirs has been read, and the policy gets it in the next turn.
-    backing_off_destinations: set[int] = field(default_factory=set)
 
     def is_idempotent(self, class_name: str) -> bool:
         """Return whether messages of a class may run any number of times."""
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -101,14 +101,16 @@
         log.info(
             "status lag_ms=%d open_messages=%d calls=%d client_connections=%d idle_connections=%d "
             "connects=%d pending_notifications=%d log_bytes=%d rss_kb=%d accepted=%d rejected=%d "
-            "delivered=%d refused=%d failed=%d bad_requests=%d evictions=%s rejections=%s outcomes=%s",
+            "delivered=%d refused=%d failed=%d bad_requests=%d evictions=%s rejections=%s outcomes=%s "
+            "guard_violations=%s waiting_records=%d",
             self._max_lag_s * 1000, self.forwarder.open_count, self.forwarder.calls_in_flight,
             len(self.front.connections),
             self.pool.idle_count, self.pool.connects_started, len(self.notifications.unacknowledged),
             self.write_ahead_log.disk_usage_bytes, _resident_kb(),
             counts.accepted, counts.rejected, counts.delivered, counts.refused, counts.failed,
             self.front.bad_request_count, self.front.eviction_counts, self.submissions.rejection_counts,
-            counts.outcomes,
+            counts.outcomes, {rule.value: n for rule, n in self.forwarder.guard.violation_counts.items()},
+            self.write_ahead_log.waiting_record_count,
         )  # fmt: skip
         self._max_lag_s = 0.0
         self.clock.callLater(STATUS_INTERVAL_S, self._log_status)
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -30,6 +30,9 @@
     ) -> Callable[[], None] | None:
         """Answer by ``send_answer(data, close)``, now or later; the result cancels the request."""
 
+    def may_close(self, has_open_request: bool) -> bool:
+        """Return whether a connection may be closed."""
+
     @property
     def is_draining(self) -> bool:
         """Whether connections close after their answer."""
@@ -145,6 +148,8 @@
 
         Danger: a close over bytes that were not read is a reset, and destroys the answer.
         """
+        if self.has_open_request and not self.front.handler.may_close(self.has_open_request):
+            return
         self.is_closing = True
         self.front.on_state_changed(self)
         self.state_since_s = self.front.clock.seconds()
@@ -220,7 +225,15 @@
         """Return the connection to evict, ``None`` if each that may be evicted has an unread request."""
         # Danger: with a connection whose request is still unread, that request would be lost.
         candidates = self._eviction_queue.candidates(MAX_EVICTION_CANDIDATES)
-        return next((each for each in candidates if not has_unread_bytes(each.transport)), None)
+        may_close = self.handler.may_close
+        return next(
+            (
+                each
+                for each in candidates
+                if may_close(each.has_open_request) and not has_unread_bytes(each.transport)
+            ),
+            None,
+        )
 
     def on_state_changed(self, connection: ClientConnection) -> None:
         """Keep a connection in its place among those that may be evicted."""
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -12,6 +12,7 @@
 from honeybarrow import gc_tuning
 from honeybarrow.clocks import system_clocks
 from honeybarrow.errors import HoneybarrowError, format_error
+from honeybarrow.message_guard import MessageGuard
 from honeybarrow.node import signals
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
 from honeybarrow.node.log_format import TwoClockFormatter
@@ -20,6 +21,7 @@
 
 CONFIG_ERROR_STATUS = 2
 FAILURE_STATUS = 1
+STRICT_GUARD_VARIABLE = "HONEYBARROW_STRICT_GUARD"  # set by tests: a violation of the guard is raised
 log = logging.getLogger("honeybarrow.node")
 
 
@@ -66,6 +68,7 @@
             log.error("policy_failed", exc_info=error)
         reactor.stop()
 
+    MessageGuard.is_strict = bool(os.environ.get(STRICT_GUARD_VARIABLE))
     process = ForwarderProcess(
         config,
         reactor,
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -11,7 +11,7 @@
 from twisted.internet.error import CannotListenError
 
 from honeybarrow.clocks import Clocks
-from honeybarrow.delivery import Forwarder, Submission
+from honeybarrow.delivery import Forwarder
 from honeybarrow.errors import HoneybarrowError, format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
 from honeybarrow.node.calls import HttpConnectionPool
@@ -28,11 +28,12 @@
 from honeybarrow.node.signals import SignalRequest
 from honeybarrow.node.submission import SubmissionService
 from honeybarrow.node.write_ahead_log import WriteAheadLog
-from honeybarrow.recovery import FinalResult, ResumedMessage, may_start_attempt, plan_recovery
+from honeybarrow.recovery import FinalResult, ResumedMessage, plan_recovery
 
 MAX_LOG_DISK_SHARE = 0.8  # of the state folder's bound, for the write-ahead log
 # For the first list where lists are pushed: a connect whose first SYN is lost needs 1 s.
 FIRST_LIST_TIMEOUT_S = 1.2
+MAX_STALL_US = 150_000  # the platform may hold a process up for so long at any point
 LOG_RETRY_INTERVAL_S = 0.1  # while the state folder fails
 LISTEN_BACKLOG = 512
 LISTEN_RETRY_DELAY_S = 0.2
@@ -111,7 +112,8 @@
             EventLog(self.message_events),
             self._on_failure,
             message_log=self.write_ahead_log,
-            can_begin=self._may_start_attempt,
+            get_shutdown_age_us=lambda: self.shutdown.age_us,
+            max_stall_us=MAX_STALL_US,
         )
 
     def _build_discovery(self) -> Discovery:
@@ -235,7 +237,7 @@
         self.message_events.write(
             "message_ended_at_start", result.message, outcome="returned" if result.is_returned else "failed"
         )
-        self.submissions.notify_result(result)
+        self.submissions.notify_recovered_result(result)
 
     def _become_ready(self) -> None:
         self.submissions.is_ready = True
@@ -311,9 +313,3 @@
 
     def _log_reload_failure(self, error: ConfigError) -> None:
         log.error("reload_failed error=%r configuration=unchanged", format_error(error))
-
-    def _may_start_attempt(self, submission: Submission) -> bool:
-        idempotency = self.forwarder.sender.classes[submission.class_name].idempotency
-        return may_start_attempt(
-            idempotency, self.shutdown.age_us
-        ) and self.submissions.has_no_pending_notification(submission.payload.order_key)
--- a/honeybarrow/node/shutdown.py
+++ b/honeybarrow/node/shutdown.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 
 from honeybarrow.delivery import Forwarder
+from honeybarrow.message_guard import MAX_SHUTDOWN_US
 from honeybarrow.node.front import Front
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.submission import SubmissionService
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.ports import Clock
-from honeybarrow.recovery import MAX_SHUTDOWN_US
 
 MIN_SHUTDOWN_S = 0.6  # new connections come for so long after SIGTERM
 CHECK_INTERVAL_S = 0.05
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -81,6 +81,7 @@
         rng: random.Random,
     ) -> None:
         self.forwarder, self.write_ahead_log, self.notifications = forwarder, write_ahead_log, notifications
+        self.guard = forwarder.guard
         self.is_destination_listed, self.rng = is_destination_listed, rng
         self.tenants = {tenant.name: None for tenant in forwarder.settings.tenants}
         self.is_ready = False
@@ -89,8 +90,6 @@
         self.rejection_log = RateLimitedLog(lambda: forwarder.now_us() / 1e6)  # a wall clock may step back
         self.rejection_counts: dict[str, int] = {}  # by status and reason
         self._recent_ids: OrderedDict[str, None] = OrderedDict()
-        # By order key: messages whose notification is not acknowledged yet.
-        self._unacknowledged: dict[str, dict[str, None]] = {}
 
     def handle_request(self, request: http.Request, send_answer: SendAnswer) -> Callable[[], None] | None:
         """Answer a request, at once or when its message is recorded; the result cancels the request."""
@@ -227,49 +226,37 @@
     def notify_result(self, result: FinalResult) -> None:
         """Record a final result and notify the platform of it; no other result follows."""
         self.write_ahead_log.record_final_result(result)
-        if order_key := self._order_key_of(result.message):
-            self._unacknowledged.setdefault(order_key, {})[result.message] = None
+        self.guard.on_notification_due(result.message)
         self.notifications.add(result)
 
-    def select_notifiable(self, messages: Iterable[str]) -> list[str]:
-        """Return those messages whose final result may be notified now.
+    def notify_recovered_result(self, result: FinalResult) -> None:
+        """Notify the platform of the result of a message that an earlier process had accepted."""
+        accepted = self.write_ahead_log.pending_messages.by_id[result.message].accepted
+        time_left_us = accepted.expires_at_us - self.write_ahead_log.now_us()
+        expires_us = self.forwarder.now_us() + time_left_us
+        self.guard.on_result_recovered(result.message, expires_us, _hash_if_ordered(accepted.order_key))
+        self.notify_result(result)
 
-        Danger: a result that is not on disk does not outlive the process, and the next one would go on with
-        the message after its end. So it is held until it is recorded, or the message has expired, after
-        which no process forwards it.
-        """
+    def select_notifiable(self, messages: Iterable[str]) -> list[str]:
+        """Return those messages whose final result may be notified now."""
+        messages = list(messages)
         if self.write_ahead_log.commit():
-            return list(messages)
-        now_us, pending = self.write_ahead_log.now_us(), self.write_ahead_log.pending_messages.by_id
-        return [
-            message
-            for message in messages
-            if message not in pending or pending[message].accepted.expires_at_us <= now_us
-        ]
-
-    def _order_key_of(self, message: str) -> str:
-        pending = self.write_ahead_log.pending_messages.by_id.get(message)
-        return pending.accepted.order_key if pending is not None else ""
-
-    def has_no_pending_notification(self, order_key: str) -> bool:
-        """Return whether the platform has acknowledged all notifications for messages of this order key.
-
-        Danger: to the policy a message is completed with its final result; to the platform, with the
-        notification. The next message of the key, sent between the two, overtakes it.
-        """
-        return order_key not in self._unacknowledged
+            for message in messages:
+                self.guard.on_result_recorded(message)
+        now_us = self.forwarder.now_us()
+        return [each for each in messages if self.guard.may_notify(each, now_us) is None]
 
     def on_notifications_acknowledged(self, messages: list[str]) -> None:
         """Complete messages whose notifications the platform has acknowledged."""
         for message in messages:
-            order_key = self._order_key_of(message)
-            if (unacknowledged := self._unacknowledged.get(order_key)) is not None:
-                unacknowledged.pop(message, None)
-                if not unacknowledged:
-                    del self._unacknowledged[order_key]
+            self.guard.on_acknowledged(message)
             self.write_ahead_log.record_completed(message)
         self.write_ahead_log.commit()
 
+    def may_close(self, has_open_request: bool) -> bool:
+        """Return whether a client's connection may be closed, for any reason of this process's own."""
+        return self.guard.may_close_connection(has_open_request, is_client_gone=False) is None
+
 
 def _retry_after_field(delay_us: int) -> str:
     return f"Retry-After: {delay_us / 1e6:.3f}\r\n" if delay_us > 0 else ""
--- a/honeybarrow/policy/sender.py
+++ b/honeybarrow/policy/sender.py
@@ -85,8 +85,3 @@
         if soonest < state.wake_us:
             state.wake_us = max(soonest, state.now + 1)
             state.actions.append(SetTimer(WAKE_TIMER, state.wake_us - state.now))
-
-    def can_start(self, now_us: int, target: str) -> bool:
-        """Return whether a call sent before may start now: its endpoint neither drains nor asked to wait."""
-        endpoint = self.state.endpoints.get(target)
-        return endpoint is not None and endpoint.is_usable and endpoint.scope.backoff_until_us <= now_us
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -11,11 +11,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from honeybarrow.settings import Idempotency, MessageClass
+from honeybarrow.message_guard import Refusal, may_resume
+from honeybarrow.settings import MessageClass
 
-MAX_SHUTDOWN_US = 3_500_000  # from SIGTERM to the end of the process; SIGKILL comes a little later
 UNKNOWN_AGE_US = 1 << 50  # of an ambiguous attempt; longer than any key window
-SHUTDOWN_QUIET_US = 1_500_000  # at the end of it no attempt starts whose loss would fail its message
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,35 +204,26 @@
     steps: list[ResumedMessage | FinalResult] = []
     # Danger: compaction puts records that it copies forward behind those of messages accepted later.
     for pending in sorted(pending_messages, key=lambda each: each.accepted.sequence_number):
-        accepted, ambiguous_us = pending.accepted, pending.first_ambiguous_start_us()
-        message_class = message_classes.get(accepted.class_name)
         if pending.final_result is not None:
             # Danger: the platform may have taken this notification; another result would be a second one.
             steps.append(pending.final_result)
-        elif (
-            message_class is None
-            or accepted.expires_at_us <= now_us
-            or (message_class.idempotency is Idempotency.NON_IDEMPOTENT and ambiguous_us is not None)
-        ):
-            steps.append(FinalResult(accepted.message, is_returned=False))
         else:
-            age = None if ambiguous_us is None else max(0, now_us - ambiguous_us)
-            if age is not None and not is_time_certain:
-                age = UNKNOWN_AGE_US
-            # Records of earlier builds have wall times, which a step may have put out of reach.
-            time_left_us = min(accepted.expires_at_us - now_us, message_class.deadline_us)
-            steps.append(ResumedMessage(accepted, time_left_us, pending.attempt_count, age))
+            message_class = message_classes.get(pending.accepted.class_name)
+            steps.append(_plan_message(pending, message_class, now_us, is_time_certain))
     return steps
 
 
-def may_start_attempt(idempotency: Idempotency, shutdown_age_us: int | None) -> bool:
-    """Return whether an attempt may start, so long after SIGTERM (``None``: there was none).
-
-    Danger: an attempt that is cut off by the end of the process is ambiguous. A non-idempotent message fails
-    by that; the key window of one with a key could end before the next process is up.
-    """
-    return (
-        idempotency is Idempotency.IDEMPOTENT
-        or shutdown_age_us is None
-        or shutdown_age_us < MAX_SHUTDOWN_US - SHUTDOWN_QUIET_US
-    )
+def _plan_message(
+    pending: PendingMessage, message_class: MessageClass | None, now_us: int, is_time_certain: bool
+) -> ResumedMessage | FinalResult:
+    accepted, ambiguous_us = pending.accepted, pending.first_ambiguous_start_us()
+    time_left_us = accepted.expires_at_us - now_us
+    refusal = may_resume(message_class, time_left_us, ambiguous_us is not None, is_time_certain)
+    if message_class is None or refusal not in (None, Refusal.CLOCK_UNCERTAIN):
+        return FinalResult(accepted.message, is_returned=False)
+    age = None if ambiguous_us is None else max(0, now_us - ambiguous_us)
+    if refusal is Refusal.CLOCK_UNCERTAIN:
+        age = UNKNOWN_AGE_US
+    # Records of earlier builds have wall times, which a step may have put out of reach.
+    time_left_us = min(time_left_us, message_class.deadline_us)
+    return ResumedMessage(accepted, time_left_us, pending.attempt_count, age)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,17 @@
 """The same verdict every time: generated examples follow from the tests' text alone. And the known red."""
 
+import os
+
 from hypothesis import settings
 
+from honeybarrow.message_guard import MessageGuard
+from honeybarrow.node.main import STRICT_GUARD_VARIABLE
 from tests.known_red import pytest_collection_modifyitems, pytest_runtest_protocol, pytest_terminal_summary
 
 __all__ = ["pytest_collection_modifyitems", "pytest_runtest_protocol", "pytest_terminal_summary"]
 
+# A violation of the guard fails the test, also in the processes that it starts.
+MessageGuard.is_strict = True
+os.environ[STRICT_GUARD_VARIABLE] = "1"
 settings.register_profile("same", derandomize=True, database=None)
 settings.load_profile("same")
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,8 +4,8 @@
 
 from honeybarrow import events
 from honeybarrow.events import AttemptStatus
+from honeybarrow.message_guard import MAX_SHUTDOWN_US, may_start_attempt
 from honeybarrow.recovery import (
-    MAX_SHUTDOWN_US,
     AttemptFinished,
     AttemptStarted,
     FinalResult,
@@ -14,7 +14,6 @@
     MessageCompleted,
     PendingMessages,
     ResumedMessage,
-    may_start_attempt,
     plan_recovery,
 )
 from honeybarrow.settings import Idempotency
@@ -81,8 +80,9 @@
 
 def test_near_the_end_of_a_shutdown_only_idempotent_attempts_start() -> None:
     for idempotency in Idempotency:
-        assert may_start_attempt(idempotency, None) and may_start_attempt(idempotency, 0)
-        assert may_start_attempt(idempotency, MAX_SHUTDOWN_US) == (idempotency is Idempotency.IDEMPOTENT)
+        assert may_start_attempt(idempotency, None) is None and may_start_attempt(idempotency, 0) is None
+        is_allowed = may_start_attempt(idempotency, MAX_SHUTDOWN_US) is None
+        assert is_allowed == (idempotency is Idempotency.IDEMPOTENT)
 
 
 def test_the_policy_goes_by_the_history_of_a_resumed_message() -> None:
--- a/tests/test_shutdown_and_kill.py
+++ b/tests/test_shutdown_and_kill.py
@@ -13,10 +13,10 @@
 
 import pytest
 
+from honeybarrow.message_guard import MAX_SHUTDOWN_US, Refusal
 from honeybarrow.node import calls as node_calls
 from honeybarrow.node.shutdown import CLOSE_GRACE_US
 from honeybarrow.node.signals import SignalRequest
-from honeybarrow.recovery import MAX_SHUTDOWN_US
 from tests.crossing import NO_CONTENT, OK, PeerConnection, ProcessKilledError, Rig
 from tests.helpers import CLASSES
 
@@ -208,7 +208,8 @@
 
 
 def test_accepted_messages_without_an_attempt_are_attempted_by_the_next_process(rig: Rig) -> None:
-    rig.process.forwarder.context.can_begin = lambda submission: False
+    guard: Any = rig.process.forwarder.guard
+    guard.may_forward = lambda *given: Refusal.SHUTTING_DOWN
     for number in range(20):
         rig.submit(f"m{number}", "pay" if number % 2 else "note", left_ms=9000)
     rig.run_turns(3)
--- a/tests/test_submission.py
+++ b/tests/test_submission.py
@@ -10,6 +10,7 @@
 import pytest
 
 from honeybarrow.events import Endpoint, EndpointState, MembershipUpdate, UpdateKind
+from honeybarrow.message_guard import MAX_SHUTDOWN_US, SHUTDOWN_QUIET_US
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.recovery import FinalResult, MessageAccepted, ResumedMessage
 from tests.helpers import SECOND, make_clocks
@@ -47,9 +48,6 @@
     tmp_path: Path,
 ) -> None:
     bench = SubmissionBench(tmp_path)
-    bench.forwarder.context.can_begin = lambda submission: bench.submissions.has_no_pending_notification(
-        submission.payload.order_key
-    )
     client, _ = bench.connect_client()
     bench.submit(client, "m1", cls="step", path="/step/a1", left_ms=300)
     bench.clock.advance(0.01)
@@ -269,7 +267,7 @@
 
 def test_no_non_idempotent_attempt_starts_near_the_end_of_the_process(tmp_path: Path) -> None:
     bench = SubmissionBench(tmp_path)
-    bench.forwarder.context.can_begin = lambda submission: submission.class_name != "pay"
+    bench.forwarder.context.get_shutdown_age_us = lambda: MAX_SHUTDOWN_US - SHUTDOWN_QUIET_US
     connection, transport = bench.connect_client()
     bench.submit(connection, "p1", cls="pay")
     bench.clock.advance(0)
