--- a/honeybarrow/cli/main.py
+++ b/honeybarrow/cli/main.py
@@ -15,7 +15,7 @@
 
 from honeybarrow import __version__
 from honeybarrow.admission.identity import hash_password
-from honeybarrow.cli import fleet, lab
+from honeybarrow.cli import fleet, lab, soak
 from honeybarrow.cli.exits import CANNOT_LISTEN, fail
 from honeybarrow.cli.logs import LEVELS, configure_logging
 from honeybarrow.cli.scripts import SCENARIOS, find_scenario, read_forwarder, read_scenario
@@ -242,3 +242,4 @@
 
 main.add_command(fleet.fleet)
 main.add_command(lab.lab)
+main.add_command(soak.soak)
--- /dev/null
+++ b/honeybarrow/soak/plan.py
@@ -0,0 +1,178 @@
+"""What happens in a soak run: faults, drawn from the seed, at times and places that overlap."""
+
+from __future__ import annotations
+
+import enum
+import errno
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from honeybarrow.soak.endpoints import EndpointMode
+from honeybarrow.soak.fault_shim import SystemCall
+
+
+class FaultKind(enum.StrEnum):
+    """Kinds of faults."""
+
+    TERMINATE = "terminate"  # SIGTERM, SIGKILL 3.7 s later, next start
+    KILL = "kill"
+    RELOAD = "reload"  # SIGHUP, with another address of discovery
+    SIGNALS = "signals"  # several at once: SIGHUP, SIGSTOP with SIGCONT, SIGTERM
+    PAUSE = "pause"  # SIGSTOP with SIGCONT, up to 0.15 s, in series
+    CLOCK_STEP = "clock_step"
+    CLOCK_STEP_AT_RESTART = "clock_step_at_restart"
+    SYSTEM_CALL = "system_call"
+    FOLDER = "folder"
+    TORN_WRITE = "torn_write"  # a kill in the middle of a write
+    STALL = "stall"  # held up between a decision and a write
+    ENDPOINT_MODE = "endpoint_mode"
+    ENDPOINT_CRASH = "endpoint_crash"
+    ENDPOINT_VANISH = "endpoint_vanish"
+    OUTAGE = "outage"  # all endpoints of a destination refuse, and it comes back cold
+    LINK = "link"  # of one forwarder to all endpoints of a destination
+    CLIENT_LINK = "client_link"
+    DISCOVERY_DOWN = "discovery_down"
+    DISCOVERY_LINK = "discovery_link"
+    REPLACE = "replace"  # an endpoint drains and goes, another comes in its place
+    CROWD = "crowd"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault. ``place``: a forwarder, an endpoint or nothing, by its kind; the rest says how bad it is."""
+
+    kind: FaultKind
+    start_s: float
+    duration_s: float
+    place: str = ""
+    amount: float = 0.0
+    share: float = 1.0
+    detail: str = ""
+    errnos: tuple[int, ...] = ()
+
+    def format(self) -> str:
+        """Return the fault as a line."""
+        errnos = ",".join(errno.errorcode[number] for number in self.errnos)
+        parts = [
+            f"{self.start_s:6.2f} s", f"{self.duration_s:5.2f} s", self.kind.value, self.place, self.detail,
+            f"amount={self.amount:.3f}" if self.amount else "", f"share={self.share:.2f}", errnos,
+        ]  # fmt: skip
+        return " ".join(part for part in parts if part)
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSpec:
+    """How large and how bad a run is. ``load_s``: clients send for so long, and faults begin in it."""
+
+    seed: int
+    forwarders: int = 24
+    destinations: int = 4
+    endpoints_each: int = 2
+    load_s: float = 20.0
+    rate_per_s: float = 6.0  # requests to each forwarder
+    faults: int = 60
+    descriptors: int = 256
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+
+
+_NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# By system call: errors that Linux documents for it, those that come together in one fault.
+_SYSTEM_CALL_ERRORS: tuple[tuple[SystemCall, tuple[int, ...]], ...] = (
+    (SystemCall.ACCEPT, _NO_DESCRIPTOR),
+    (SystemCall.ACCEPT, (errno.ECONNABORTED, errno.EPROTO, errno.EINTR, errno.ENETUNREACH)),
+    (SystemCall.SOCKET, _NO_DESCRIPTOR),
+    (SystemCall.CONNECT, (errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS)),
+    (SystemCall.CONNECT, (errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EINTR)),
+    (SystemCall.RECV, (errno.EINTR, errno.ENOMEM, errno.ENOBUFS)),
+    (SystemCall.SEND, (errno.EINTR, errno.ENOMEM, errno.ENOBUFS)),
+    (SystemCall.EPOLL_CTL, (errno.ENOMEM, errno.ENOSPC)),
+    (SystemCall.SHUTDOWN, (errno.ENOTCONN,)),
+)
+_FOLDER_ERRNOS = (errno.ENOSPC, errno.EIO)
+_FOLDER_CALLS = (SystemCall.WRITE, SystemCall.WRITE, SystemCall.OPEN, SystemCall.UNLINK, SystemCall.TRUNCATE)
+_CLOCK_STEPS_S = (-3600.0, -20.0, -3.0, -0.6, 0.6, 3.0, 20.0, 3600.0)
+# How often each kind is drawn; all others once.
+_WEIGHTS = {
+    FaultKind.CLOCK_STEP: 2.0,
+    FaultKind.SYSTEM_CALL: 3.0,
+    FaultKind.FOLDER: 2.0,
+    FaultKind.ENDPOINT_MODE: 3.0,
+    FaultKind.LINK: 2.0,
+    FaultKind.PAUSE: 1.5,
+    FaultKind.CROWD: 0.3,
+    FaultKind.OUTAGE: 0.2,
+    FaultKind.DISCOVERY_DOWN: 0.3,
+    FaultKind.ENDPOINT_VANISH: 0.5,
+}
+
+
+_LINK_KINDS = (FaultKind.LINK, FaultKind.CLIENT_LINK, FaultKind.DISCOVERY_LINK)
+_ENDPOINT_KINDS = (
+    FaultKind.ENDPOINT_MODE, FaultKind.ENDPOINT_CRASH, FaultKind.ENDPOINT_VANISH, FaultKind.REPLACE,
+)  # fmt: skip
+
+
+def draw_faults(spec: SoakSpec, forwarders: Sequence[str], endpoints: Sequence[str]) -> list[Fault]:
+    """Return the faults of a run, by their start."""
+    rng = random.Random(spec.seed)
+    weights = [_WEIGHTS.get(kind, 1.0) for kind in spec.kinds]
+    kinds = rng.choices(spec.kinds, weights, k=spec.faults)
+    faults = [_draw_fault(kind, spec, rng, forwarders, endpoints) for kind in kinds]
+    return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_fault(
+    kind: FaultKind, spec: SoakSpec, rng: random.Random, forwarders: Sequence[str], endpoints: Sequence[str]
+) -> Fault:
+    start_s = rng.uniform(0.5, spec.load_s)
+    forwarder, endpoint = rng.choice(forwarders), rng.choice(endpoints)
+    if kind in _LINK_KINDS:
+        return _draw_link_fault(kind, start_s, forwarder, rng)
+    if kind in _ENDPOINT_KINDS:
+        return _draw_endpoint_fault(kind, start_s, endpoint, rng)
+    match kind:
+        case FaultKind.OUTAGE:
+            destination = str(1 + rng.randrange(spec.destinations))
+            return Fault(kind, start_s, rng.uniform(3.0, 7.0), destination)
+        case FaultKind.DISCOVERY_DOWN:
+            return Fault(kind, start_s, rng.uniform(1.0, 6.0))
+        case FaultKind.CROWD:
+            return Fault(kind, start_s, rng.uniform(1.0, 4.0), forwarder, spec.descriptors * 1.2)
+    return _draw_process_fault(kind, start_s, forwarder, rng)
+
+
+def _draw_process_fault(kind: FaultKind, start_s: float, forwarder: str, rng: random.Random) -> Fault:
+    match kind:
+        case FaultKind.PAUSE:
+            return Fault(kind, start_s, rng.uniform(0.2, 2.0), forwarder, rng.uniform(0.02, 0.15))
+        case FaultKind.CLOCK_STEP | FaultKind.CLOCK_STEP_AT_RESTART:
+            return Fault(kind, start_s, 0.0, forwarder, rng.choice(_CLOCK_STEPS_S))
+        case FaultKind.SYSTEM_CALL:
+            call, errnos = rng.choice(_SYSTEM_CALL_ERRORS)
+            share, duration_s = rng.choice((0.05, 0.2, 0.5)), rng.uniform(0.3, 3.0)
+            return Fault(kind, start_s, duration_s, forwarder, call.value, share, call.name, errnos)
+        case FaultKind.FOLDER:
+            call, share = rng.choice(_FOLDER_CALLS), rng.choice((0.3, 1.0))
+            duration_s = rng.uniform(0.5, 6.0)
+            return Fault(kind, start_s, duration_s, forwarder, call.value, share, call.name, _FOLDER_ERRNOS)
+        case FaultKind.TORN_WRITE:
+            return Fault(kind, start_s, 1.0, forwarder, share=rng.uniform(0.05, 0.5))
+        case FaultKind.STALL:
+            return Fault(kind, start_s, rng.uniform(0.5, 3.0), forwarder, 0.15, rng.uniform(0.02, 0.2))
+    return Fault(kind, start_s, 0.0, forwarder)
+
+
+def _draw_endpoint_fault(kind: FaultKind, start_s: float, endpoint: str, rng: random.Random) -> Fault:
+    if kind is FaultKind.ENDPOINT_MODE:
+        mode = rng.choice([each for each in EndpointMode if each is not EndpointMode.SERVE])
+        share, duration_s = rng.choice((0.3, 1.0)), rng.uniform(0.5, 6.0)
+        return Fault(kind, start_s, duration_s, endpoint, rng.uniform(0.2, 1.5), share, mode)
+    return Fault(kind, start_s, rng.uniform(1.0, 6.0), endpoint)
+
+
+def _draw_link_fault(kind: FaultKind, start_s: float, forwarder: str, rng: random.Random) -> Fault:
+    how = rng.choice(("delay", "silent", "trickle", "reset", "half_close"))
+    duration_s = rng.uniform(0.3, 4.0)
+    amount = {"delay": rng.uniform(0.02, 0.6), "trickle": 7.0}.get(how, 0.0)
+    return Fault(kind, start_s, duration_s, forwarder, amount, rng.choice((0.2, 0.6)), how)
