Guard in the mail path: an attempt on an idle connection is noted; mutants pass it by

Cause: a transaction on an idle mail connection was written without the guard being told, so it did not know of its ambiguity; found because a mutant of the policy still had two effects. Guard: an attempt that may have run and was never allowed to start is a violation now.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -29,7 +29,7 @@
 from honeybarrow.rehearsal import SCENARIO_WORDS, Scenario
 from honeybarrow.sender_state import add_waiting
 from tests import mutants
-from tests.mutants import patch_decision
+from tests.mutants import disable_guard, patch_decision
 
 SPOTS = 'spots = [spot(name + "_2", host = "127.0.0.2", port = 3000 + number)]'
 
@@ -163,6 +163,8 @@
 def find_violation(name: str, days: int) -> str:
     """The first seed whose run violates a rule, and which."""
     MUTANTS[name]()
+    if name != "none":
+        disable_guard()  # else it would refuse what most of them do wrong
     day = make_config()
     for seed in range(1, days + 1):
         found = fault_search.run_and_check(fault_search.draw_faults(day, seed))
--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -81,8 +81,10 @@
         """Log that the attempt begins, right before its first byte; why it may not, empty if it may."""
         # Danger: logged earlier, while its connection is still to come up, a start says of a call that was
         # never written that it may have run: the next incarnation would fail a non-idempotent one untried.
-        if reason := self.refusal_reason():
-            return reason
+        return self.refusal_reason() or self.record_permitted_start()
+
+    def record_permitted_start(self) -> str:
+        """Log that the attempt begins, which was permitted just now; why it may not, empty if it may."""
         name = self.message.submission.message
         self.context.guard.on_attempt_started(name, self.target, self.context.now_us())
         is_repeatable = self.context.is_idempotent(self.message.submission.class_name)
--- a/honeybarrow/delivery/mail_call.py
+++ b/honeybarrow/delivery/mail_call.py
@@ -98,9 +98,9 @@
         self.pool.address_health.record_idle_survival(now, idle.address, now - idle.idle_since_us)
         idle.call, idle.number = self, self.race.reuse_connection(now, idle.address)
         self.connections[idle.number] = idle
-        self._write_transaction(idle)
-        idle.flush()
-        self._execute([])
+        if self._begin_unless(self.permit.record_permitted_start(), idle):
+            idle.flush()
+            self._execute([])
 
     def _execute(self, actions: Sequence[RaceAction]) -> None:
         """Carry out what the race says, and set the timer that it wants."""
@@ -160,14 +160,19 @@
     def on_session_ready(self, connection: MailConnection) -> None:
         """The session is ready: write the transaction."""
         self.race.on_session_ready(self.pool.now_us(), connection.number)
-        if reason := self.permit.record_start():
-            # Danger: while it was reached the endpoint may have drained or advised a wait, and a key's window
-            # may have ended: a transaction now would be new work.
+        # Danger: while it was reached the endpoint may have drained or advised a wait, and a key's window may
+        # have ended: a transaction now would be new work.
+        self._begin_unless(self.permit.record_start(), connection)
+
+    def _begin_unless(self, reason: str, connection: MailConnection) -> bool:
+        """Write the transaction unless there is a reason against it; whether it was written."""
+        if reason:
             connection.call = None
             self.finish(AttemptOutcome(AttemptStatus.NOT_SENT, True, reason=reason))
             self.pool.add_idle(connection)
-            return
+            return False
         self._write_transaction(connection)
+        return True
 
     def on_content_withheld(self, connection: MailConnection) -> None:
         """The content may not be written any more; nothing of it was."""
--- a/honeybarrow/message_guard.py
+++ b/honeybarrow/message_guard.py
@@ -59,10 +59,12 @@
     NOT_ENDED = "it has no final result"
     NOT_DELIVERED = "no attempt of it was answered as done"
     RESULT_NOT_RECORDED = "its final result is not recorded, and it has not expired"
+    NEVER_STARTED = "an attempt of it may have run that was never allowed to start"
     REQUEST_OPEN = "a request on the connection has no answer"
     CLOCK_UNCERTAIN = "how long ago an attempt was is not known"
 
 
+_LONG_AGO_US = -(1 << 62)  # an attempt that started at an unknown time
 _NO_CLASS = MessageClass("", 0, 0)  # of a message whose class the settings no longer have
 RULE_OF_REFUSAL = {
     Refusal.UNKNOWN: Rule.LOST,
@@ -83,6 +85,7 @@
     Refusal.NOT_ENDED: Rule.LOST,
     Refusal.NOT_DELIVERED: Rule.LOST,
     Refusal.RESULT_NOT_RECORDED: Rule.LOST,
+    Refusal.NEVER_STARTED: Rule.DUPLICATE,
     Refusal.REQUEST_OPEN: Rule.LOST,
     Refusal.CLOCK_UNCERTAIN: Rule.DUPLICATE,
 }
@@ -221,6 +224,9 @@
             return
         account.is_delivered |= is_done
         if account.state is not MessageState.IN_FLIGHT:
+            if not (not_run or is_done or account.state is MessageState.ENDING):
+                account.ambiguous_since_us, account.state = _LONG_AGO_US, MessageState.AMBIGUOUS
+                self._report(Refusal.NEVER_STARTED, "finish", message)
             return
         if not not_run and account.ambiguous_since_us is None:
             account.ambiguous_since_us, account.ambiguous_zone = (
@@ -317,7 +323,8 @@
         """Note that the first byte of an attempt is written, as :meth:`may_forward` has just allowed."""
         account = self._accounts[message]
         account.state, account.attempt_started_us = MessageState.IN_FLIGHT, now_us
-        account.attempt_zone = self._endpoints[target].zone
+        endpoint = self._endpoints.get(target)
+        account.attempt_zone = endpoint.zone if endpoint else ""
 
     def _refuse_forward(
         self, message: str, account: _Account, target: str, now_us: int, shutdown_age_us: int | None
--- a/honeybarrow/ports.py
+++ b/honeybarrow/ports.py
@@ -70,6 +70,13 @@
         """Record the start, right before the first byte; return why it may not start, empty if it may."""
         ...
 
+    def record_permitted_start(self) -> str:
+        """Record the start without asking again, where nothing has passed since the permission.
+
+        Danger: what watches attempts may withdraw the endpoint as this very attempt begins.
+        """
+        ...
+
     def time_left_us(self) -> int:
         """Return how long its last byte may still be written, in microseconds; negative if it may not."""
         ...
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -75,6 +75,9 @@
     def record_start(self) -> str:
         return self.reason
 
+    def record_permitted_start(self) -> str:
+        return ""
+
     def time_left_us(self) -> int:
         return self.left_us
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -19,6 +19,7 @@
 from honeybarrow.config.schema import ForwarderConfig
 from honeybarrow.lab import LinkConfig, NetworkSimulator, SimulatedHost, fault_search
 from honeybarrow.lab.message_history import describe_message
+from honeybarrow.message_guard import MessageGuard
 from honeybarrow.rehearsal import SCENARIO_WORDS, Fault, Scenario
 from tests import mutants
 from tests.fleet_days import make_script
@@ -215,6 +216,7 @@
     )
     for module in (admission, backoff, lifecycle):
         monkeypatch.setattr(module, "latest_start_us", ignores_ambiguity)
+    monkeypatch.setattr(MessageGuard, "_refuse_repeat", lambda *given: None)  # it would refuse the repeats
     found = fault_search.search_faults(base, range(1, 13), 1, lambda outcome: None)
     assert found[0].violated_rules == ("effect",)
     small = fault_search.minimize(
