Soak: each run on a loopback address of its own, another checkout by its folder

Cause: two runs side by side shared 127.0.0.1, so the port of a forwarder that was just restarted was taken by the other run; and python -m took the package of the present folder, not that of the checkout named.

--- a/honeybarrow/soak/clients.py
+++ b/honeybarrow/soak/clients.py
@@ -55,13 +55,13 @@
     def __init__(
         self,
         forwarder: str,
-        port: int,
+        address: tuple[str, int],
         destinations: list[int],
         rate_per_s: float,
         history: History,
         rng: random.Random,
     ) -> None:
-        self.forwarder, self.port, self.destinations = forwarder, port, destinations
+        self.forwarder, self.address, self.destinations = forwarder, address, destinations
         self.rate_per_s, self.history, self._rng = rate_per_s, history, rng
         self.condition = LinkCondition()
         self._idle: deque[_ClientConnection] = deque()
@@ -126,7 +126,7 @@
         try:
             _, connection = await asyncio.wait_for(
                 asyncio.get_running_loop().create_connection(
-                    lambda: _ClientConnection(self, self.condition), "127.0.0.1", self.port
+                    lambda: _ClientConnection(self, self.condition), *self.address
                 ),
                 CONNECT_TIMEOUT_S,
             )
@@ -205,8 +205,8 @@
 class IdleCrowd:
     """Clients that connect, ask once or not at all, and stay for as long as they are let."""
 
-    def __init__(self, port: int, size: int, rng: random.Random) -> None:
-        self.port, self.size, self._rng = port, size, rng
+    def __init__(self, address: tuple[str, int], size: int, rng: random.Random) -> None:
+        self.address, self.size, self._rng = address, size, rng
         self._writers: list[asyncio.StreamWriter] = []
 
     async def run(self, seconds: float) -> None:
@@ -214,9 +214,7 @@
         for _ in range(self.size):
             await asyncio.sleep(seconds / self.size)
             try:
-                _, writer = await asyncio.wait_for(
-                    asyncio.open_connection("127.0.0.1", self.port), CONNECT_TIMEOUT_S
-                )
+                _, writer = await asyncio.wait_for(asyncio.open_connection(*self.address), CONNECT_TIMEOUT_S)
             except (TimeoutError, OSError):
                 continue
             self._writers.append(writer)
--- a/honeybarrow/soak/discovery.py
+++ b/honeybarrow/soak/discovery.py
@@ -55,8 +55,8 @@
 class StandInDiscovery:
     """The list of endpoints, shown to each forwarder with addresses of its own, at two listeners each."""
 
-    def __init__(self, history: History) -> None:
-        self.history = history
+    def __init__(self, host: str, history: History) -> None:
+        self.host, self.history = host, history
         self.version = 1
         self.changes: list[ListChange] = []
         self.statuses: dict[str, ListChange] = {}
@@ -73,11 +73,11 @@
         loop = asyncio.get_running_loop()
         for _ in range(2):
             server = await loop.create_server(
-                lambda: _DiscoveryConnection(self, forwarder, condition), "127.0.0.1", 0, backlog=64
+                lambda: _DiscoveryConnection(self, forwarder, condition), self.host, 0, backlog=64
             )
             self._servers.append(server)
             port = server.sockets[0].getsockname()[1]
-            self.addresses.setdefault(forwarder, []).append(f"127.0.0.1:{port}")
+            self.addresses.setdefault(forwarder, []).append(f"{self.host}:{port}")
         if self._heartbeat is None:
             self._heartbeat = loop.call_later(HEARTBEAT_INTERVAL_S, self._send_heartbeats)
 
@@ -102,7 +102,7 @@
         endpoint = change.endpoint
         return {
             "name": endpoint.name,
-            "address": f"127.0.0.1:{endpoint.ports[forwarder]}",
+            "address": f"{endpoint.host}:{endpoint.ports[forwarder]}",
             "zone": "a",
             "type": "shop",
             "group": endpoint.destination,
--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -74,10 +74,14 @@
 
 
 class StandInEndpoint:
-    """One endpoint of a destination. ``links``: the condition of the link from each forwarder."""
+    """One endpoint of a destination, at an address of the run's own.
 
-    def __init__(self, name: str, destination: int, history: History, rng: random.Random) -> None:
-        self.name, self.destination, self.history, self._rng = name, destination, history, rng
+    ``links``: the condition of the link from each forwarder.
+    """
+
+    def __init__(self, name: str, destination: int, host: str, history: History, rng: random.Random) -> None:
+        self.name, self.destination, self.host = name, destination, host
+        self.history, self._rng = history, rng
         self.mode, self.mode_share, self.wait_s = EndpointMode.SERVE, 1.0, 0.5
         self.links: dict[str, LinkCondition] = {}
         self.ports: dict[str, int] = {}
@@ -91,7 +95,7 @@
         condition = self.links.setdefault(forwarder, LinkCondition())
         self._servers[forwarder] = server = await asyncio.get_running_loop().create_server(
             lambda: _EndpointConnection(self, forwarder, condition),
-            "127.0.0.1",
+            self.host,
             self.ports.get(forwarder, 0),
             backlog=BACKLOG,
             reuse_address=True,
@@ -110,12 +114,12 @@
         """Answer no connect, and go silent on open connections."""
         for forwarder, server in self._servers.items():
             server.close()
-            listener = socket.create_server(("127.0.0.1", self.ports[forwarder]), backlog=0)
+            listener = socket.create_server((self.host, self.ports[forwarder]), backlog=0)
             self._full_queues.append(listener)
             for _ in range(2):  # one is queued, and the next keeps its place while it is not accepted
                 filler = socket.socket()
                 filler.setblocking(False)
-                filler.connect_ex(("127.0.0.1", self.ports[forwarder]))
+                filler.connect_ex((self.host, self.ports[forwarder]))
                 self._full_queues.append(filler)
         self._servers.clear()
         for condition in self.links.values():
--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -50,7 +50,7 @@
         self.source = source
         self.state = folder / "state"
         self.state.mkdir(parents=True, exist_ok=True)
-        self.port = _free_port()
+        self.address = (discovery.host, _free_port(discovery.host))
         self.discovery_number = 0  # which of the two addresses it uses
         self.process: subprocess.Popen[bytes] | None = None
         self.is_ending = False  # by a signal of the plan
@@ -60,7 +60,7 @@
         """Write the configuration file, as the platform would have it now."""
         config = {
             "name": self.name,
-            "listen": f"127.0.0.1:{self.port}",
+            "listen": "{}:{}".format(*self.address),
             "discovery": self.discovery.addresses[self.name][self.discovery_number],
             "seed": f"{zlib.crc32(self.name.encode()):x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.descriptors, "disk_mb": 3},
@@ -80,11 +80,14 @@
             "ROUTER_STATE": str(self.state),
             STRICT_GUARD_VARIABLE: "",
             **(self.shim.environment() if self.shim else {}),
-            **({"PYTHONPATH": str(self.source)} if self.source else {}),
         }
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "honeybarrow.node"], env=environment, stdout=log, stderr=log
+                [sys.executable, "-m", "honeybarrow.node"],
+                cwd=self.source,  # whose package goes before the installed one
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
         self.is_ending = False
         self.history.add(EventKind.PROCESS, self.name, detail="started")
@@ -101,7 +104,7 @@
 
     async def _is_ready(self) -> bool:
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.port), 0.5)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.address), 0.5)
             writer.write(b"GET /up HTTP/1.1\r\nHost: o\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 0.5)
             writer.close()
@@ -200,6 +203,6 @@
         return _VIOLATION.findall(self.log_text())
 
 
-def _free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
+def _free_port(host: str) -> int:
+    with socket.create_server((host, 0)) as probe:
         return int(probe.getsockname()[1])
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import resource
 import signal
@@ -71,7 +72,8 @@
         self._given_faults = faults
         self.history = History()
         self.rng = random.Random(spec.seed ^ 0x5EED)
-        self.discovery = StandInDiscovery(self.history)
+        self.host = _own_loopback_address()
+        self.discovery = StandInDiscovery(self.host, self.history)
         self.endpoints: dict[str, StandInEndpoint] = {}
         self.forwarders: dict[str, ForwarderUnderTest] = {}
         self.clients: dict[str, ClientPool] = {}
@@ -113,7 +115,7 @@
     async def _add_endpoint(self, destination: int, forwarders: Sequence[str]) -> StandInEndpoint:
         self._endpoint_count += 1
         name = f"e{self._endpoint_count}"
-        endpoint = StandInEndpoint(name, destination, self.history, self.rng)
+        endpoint = StandInEndpoint(name, destination, self.host, self.history, self.rng)
         for forwarder in forwarders:
             await endpoint.listen(forwarder)
         self.endpoints[name] = endpoint
@@ -139,7 +141,7 @@
         self.forwarders[name] = forwarder
         destinations = list(range(1, self.spec.destinations + 1))
         self.clients[name] = ClientPool(
-            name, forwarder.port, destinations, self.spec.rate_per_s, self.history, self.rng
+            name, forwarder.address, destinations, self.spec.rate_per_s, self.history, self.rng
         )
 
     def _choose_faults(self) -> list[Fault]:
@@ -335,7 +337,7 @@
         self.discovery.set_status(leaving, "left")
 
     async def _crowd(self, fault: Fault) -> None:
-        crowd = IdleCrowd(self.forwarders[fault.place].port, int(fault.amount), self.rng)
+        crowd = IdleCrowd(self.forwarders[fault.place].address, int(fault.amount), self.rng)
         self._crowds.append(crowd)
         await crowd.run(fault.duration_s)
         await asyncio.sleep(fault.duration_s)
@@ -433,6 +435,16 @@
     return counts
 
 
+def _own_loopback_address() -> str:
+    """Return an address that no other run uses.
+
+    Danger: on a shared one, another run or any outgoing connection may take the port of a forwarder that is
+    just being restarted.
+    """
+    number = os.getpid()
+    return f"127.{64 + number // 256 % 64}.{number % 256}.1"
+
+
 def _raise_descriptor_limit() -> None:
     """Use as many descriptors as this process is allowed: each link has a listener."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
