A socket that can't be watched now is watched later; timers go on whatever becomes of one

Change: resilient_reactor (epoll, monotonic clock, watches tried again after 20 ms, a descriptor taken out whole where it can't be changed) in place of patches of an instance; periodic timers set the next one first; an action that fails leaves the others of its turn; a transport that raises ends its call. A strict guard's violations fail their test wherever the exception is caught, also in processes that a test starts. The judge took a name in a connect error for a traceback; mended.

--- /dev/null
+++ b/benchmarks/soak_mutants.py
@@ -0,0 +1,280 @@
+"""Mends and guards that are taken out of the forwarder, one at a time, and whether the soak finds each.
+
+    python -m benchmarks.soak_mutants [--seeds 6] [--jobs 3] [--one NAME]
+
+A mutant is a copy of the package with some lines changed. It plays runs of the kinds of faults that it is
+about, seeds 1, 2, ..., until one breaks a rule. What the guard catches by itself counts as found: its counts
+have to be zero as well.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import tempfile
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from multiprocessing import get_context
+from pathlib import Path
+
+import honeybarrow
+from honeybarrow.soak.fault_shim import build_shim
+from honeybarrow.soak.plan import FaultKind, SoakSpec
+from honeybarrow.soak.run import play
+
+PACKAGE = Path(honeybarrow.__file__).parent
+FORWARDERS = 10
+LOAD_S = 12.0
+FAULTS = 40
+CLOCKS = (FaultKind.CLOCK_STEP, FaultKind.CLOCK_STEP_AT_RESTART)
+ENDPOINTS = (FaultKind.ENDPOINT_MODE, FaultKind.ENDPOINT_CRASH, FaultKind.LINK)
+DEATHS = (FaultKind.KILL, FaultKind.TORN_WRITE)
+FOLDERS = (FaultKind.FOLDER, *DEATHS)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Lines of a file, and what stands in their place."""
+
+    file: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True, slots=True)
+class SoakMutant:
+    """A fault of the program, and the kinds of faults of a run that should show it."""
+
+    changes: tuple[Change, ...]
+    kinds: tuple[FaultKind, ...]
+
+
+def _mutant(kinds: tuple[FaultKind, ...], *changes: tuple[str, str, str]) -> SoakMutant:
+    return SoakMutant(tuple(Change(*each) for each in changes), kinds)
+
+
+GUARD = "message_guard.py"
+NO_REPEAT_GUARD = (
+    GUARD,
+    "        spec = account.message_class\n        if account.ambiguous",
+    "        return None\n        spec = account.message_class\n        if account.ambiguous",
+)
+NO_ENDPOINT_GUARD = (
+    GUARD,
+    "        endpoint = self._endpoints.get(target)\n        if endpoint is None or not",
+    "        return None\n        endpoint = self._endpoints.get(target)\n        if endpoint is None or not",
+)
+MUTANTS: dict[str, SoakMutant] = {
+    "none": _mutant((*CLOCKS, *ENDPOINTS, *FOLDERS)),
+    "mend: timers by the wall clock": _mutant(
+        (*CLOCKS, *ENDPOINTS),
+        ("reactor.py", "    reactor.seconds = time.monotonic\n", ""),
+    ),
+    "mend: log time by the wall clock": _mutant(
+        (*CLOCKS, *ENDPOINTS, FaultKind.KILL),
+        (
+            "node/write_ahead_log.py",
+            "return self.timeline.to_log_time_us(self._clocks.monotonic_us())",
+            "return self._clocks.wall_us()",
+        ),
+    ),
+    "mend: the anchor is ignored at a start": _mutant(
+        (*CLOCKS, *ENDPOINTS),
+        ("node/write_ahead_log.py", "start_timeline(self._anchor, ", "start_timeline(None, "),
+    ),
+    "mend: a listener that rests does not resume": _mutant(
+        (FaultKind.SYSTEM_CALL,),
+        (
+            "tcp_transports.py",
+            "        if self.connected:\n            _watch(self.reactor, self.startReading, self._resume_accepting)",
+            "        return",
+        ),
+    ),
+    "mend: a result is notified before it is recorded": _mutant(
+        (*FOLDERS, *ENDPOINTS),
+        (
+            GUARD,
+            "        if not account.is_result_recorded and now_us < account.expires_us:",
+            "        if False:",
+        ),
+    ),
+    "mend: an attempt starts though it can't be recorded": _mutant(
+        (*FOLDERS, *ENDPOINTS),
+        (
+            "delivery/attempts.py",
+            "context.is_idempotent(self.message.submission.class_name)",
+            "context.is_idempotent(self.message.submission.class_name) or True",
+        ),
+        ("policy/admission.py", "return state.is_log_available or message", "return True or message"),
+        (
+            "delivery/attempts.py",
+            "        if not is_logged and not context.is_idempotent(",
+            "        if False and not context.is_idempotent(",
+        ),
+    ),
+    "mend: a torn write is not cut off": _mutant(
+        (*FOLDERS, *ENDPOINTS),
+        (
+            "node/segment_files.py",
+            "            os.ftruncate(self._descriptor, self.sizes[self.newest])",
+            "            self.sizes[self.newest] += written",
+        ),
+    ),
+    "mend: a segment that can't be read is empty": _mutant(
+        (FaultKind.FOLDER, FaultKind.KILL, *ENDPOINTS),
+        (
+            "node/segment_files.py",
+            '        with open(self._path(segment), "rb") as file:\n            return file.read()',
+            '        try:\n            with open(self._path(segment), "rb") as file:\n                return file.read()\n        except OSError:\n            return b""',
+        ),
+    ),
+    "mend: no margin for a process held up": _mutant(
+        (FaultKind.STALL, FaultKind.PAUSE, *ENDPOINTS),
+        ("node/process.py", "MAX_STALL_US = 150_000", "MAX_STALL_US = 0"),
+    ),
+    "key window from the last attempt": _mutant(
+        ENDPOINTS,
+        ("policy/lifecycle.py", "if call.sent_us < message.ambiguous_since_us:", "if True:"),
+        (GUARD, "        if not not_run and account.ambiguous_since_us is None:", "        if not not_run:"),
+    ),
+    "202 before its record": _mutant(
+        FOLDERS,
+        ("delivery/forwarder.py", "            if self._is_turn_logged:\n", "            if True:\n"),
+    ),
+    "drains ignored": _mutant(
+        (FaultKind.REPLACE, FaultKind.RELOAD),
+        (
+            "policy/membership.py",
+            "endpoint.is_usable = entry.state is EndpointState.READY",
+            "endpoint.is_usable = True",
+        ),
+        (
+            "node/endpoint_list.py",
+            "            if endpoint.state is EndpointState.READY:",
+            "            if True:",
+        ),
+        NO_ENDPOINT_GUARD,
+    ),
+    "Retry-After ignored": _mutant(
+        (FaultKind.ENDPOINT_MODE,),
+        ("policy/lifecycle.py", "state.now + event.retry_after_us", "state.now"),
+        NO_ENDPOINT_GUARD,
+    ),
+    "an attempt in flight at a kill is forgotten": _mutant(
+        (FaultKind.KILL, *ENDPOINTS),
+        (
+            "recovery.py",
+            "return min([*self.in_flight.values(), *finished], default=None)",
+            "return min(finished, default=None)",
+        ),
+    ),
+    "expired messages are resumed": _mutant(
+        (FaultKind.KILL, FaultKind.TERMINATE, *ENDPOINTS),
+        (GUARD, "    if time_left_us <= 0:\n        return Refusal.EXPIRED\n", ""),
+        ("recovery.py", "min(time_left_us, message_class.deadline_us)", "message_class.deadline_us"),
+    ),
+    "a silent watch is not opened anew": _mutant(
+        (FaultKind.REPLACE, FaultKind.DISCOVERY_LINK),
+        (
+            "node/discovery.py",
+            "            self._set_timer(WATCH_TIMEOUT_S)\n",
+            "            self._set_timer(None)\n",
+        ),
+    ),
+    "order keys ignored": _mutant(
+        ENDPOINTS,
+        ("policy/lifecycle.py", "if spec.is_ordered and event.order_key is not None:", "if False:"),
+        (
+            GUARD,
+            "        if key is None:\n            return None\n        first",
+            "        if True:\n            return None\n        first",
+        ),
+    ),
+    "a call never times out": _mutant(
+        ENDPOINTS,
+        (
+            "node/calls.py",
+            "    def _on_timeout(self) -> None:\n        self.timer = None\n",
+            "    def _on_timeout(self) -> None:\n        self.timer = None\n        return\n",
+        ),
+    ),
+    "a reset is taken for a failed connect": _mutant(
+        (FaultKind.ENDPOINT_MODE, FaultKind.LINK),
+        ("node/calls.py", "elif not self.is_started or self._is_cut_off(connection):", "elif True:"),
+    ),
+    "a notification is not sent again": _mutant(
+        (FaultKind.DISCOVERY_LINK, FaultKind.SYSTEM_CALL, *ENDPOINTS),
+        (
+            "node/notifications.py",
+            "        if self.unacknowledged:\n            log.info(",
+            "        if False:\n            log.info(",
+        ),
+    ),
+    "non-idempotent messages are repeated": _mutant(
+        ENDPOINTS,
+        ("policy/backoff.py", "        return -1\n", "        return latest\n"),
+        NO_REPEAT_GUARD,
+    ),
+    "the guard alone fails: an attempt beside another": _mutant(
+        ENDPOINTS,
+        (
+            "policy/lifecycle.py",
+            "        complete(state, message)\n    elif message.is_rejected:",
+            "        complete(state, message)\n    elif message.is_rejected or event.not_run:",
+        ),
+    ),
+}
+
+
+def make_source(mutant: SoakMutant, folder: Path) -> Path:
+    """Copy the package with the mutant's lines into a folder; return the folder.
+
+    :raises ValueError: for lines that are not there once.
+    """
+    copy = folder / "honeybarrow"
+    shutil.copytree(PACKAGE, copy, ignore=shutil.ignore_patterns("__pycache__"))
+    for change in mutant.changes:
+        path = copy / change.file
+        text = path.read_text(encoding="utf-8")
+        if text.count(change.old) != 1:
+            raise ValueError(f"{change.file}: {text.count(change.old)} times {change.old!r}")
+        path.write_text(text.replace(change.old, change.new), encoding="utf-8")
+    return folder
+
+
+def find(name: str, seeds: int) -> str:
+    """Play a mutant; the first seed that breaks a rule, and which."""
+    mutant = MUTANTS[name]
+    with tempfile.TemporaryDirectory(prefix="honeybarrow-mutant-") as top:
+        folder = Path(top)
+        source = make_source(mutant, folder / "source")
+        library = build_shim(folder)
+        for seed in range(1, seeds + 1):
+            spec = SoakSpec(seed, FORWARDERS, load_s=LOAD_S, faults=FAULTS, kinds=mutant.kinds)
+            result = play(spec, folder / f"run-{seed}", library, source=source)
+            if not result.has_passed:
+                rules = sorted({violation.rule.value for violation in result.violations})
+                return f"seed {seed}: {', '.join(rules)}"
+    return f"not found in {seeds} seeds"
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Play all mutants, some at a time."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=6)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--one", default="")
+    args = parser.parse_args(arguments)
+    names = [args.one] if args.one else list(MUTANTS)
+    began_s = time.monotonic()
+    with ThreadPoolExecutor(args.jobs) as threads, get_context("spawn").Pool(args.jobs) as pool:
+        found = threads.map(lambda name: pool.apply(find, (name, args.seeds)), names)
+        for name, text in zip(names, found, strict=True):
+            print(f"{name:55} {text}", flush=True)
+    print(f"{time.monotonic() - began_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/honeybarrow/cli/soak.py
+++ b/honeybarrow/cli/soak.py
@@ -95,7 +95,7 @@
 
 def _print_story(result: SoakResult, violation: SoakViolation) -> None:
     click.echo(f"  {violation.rule}: {violation.forwarder} {violation.message} {violation.text}")
-    for line in result.history.story(violation.message) if violation.message else ():
+    for line in result.history.story(violation.message, violation.forwarder):
         click.echo(f"    {line}")
 
 
--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.python.failure import Failure
 
 from honeybarrow.actions import SendAttempt
@@ -141,9 +141,11 @@
             timeout_us=action.timeout_us,
         )
         started_us = context.now_us()
-        call = context.transport.call(
-            action.target, addresses, message.submission.payload, action.timeout_us, permit
-        )
+        payload = message.submission.payload
+        try:
+            call = context.transport.call(action.target, addresses, payload, action.timeout_us, permit)
+        except Exception as error:  # a transport that raises has lost the call, whatever it is
+            call = fail(error)
         call.addCallback(self._on_call_finished, message, attempt, action.target, started_us)
         call.addErrback(self._on_call_crashed, message, attempt, action.target, started_us)
 
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -239,7 +239,10 @@
             return
         self._commit_turn(actions)
         for action in actions:
-            self._execute(action)
+            try:
+                self._execute(action)
+            except Exception as error:  # whatever it is, the other actions of the turn are carried out
+                self._on_action_failed(action, error)
         # Only now: a result given above may withdraw a message that a later action of this turn names.
         completed, self._completed = self._completed, []
         for name in completed:
@@ -248,6 +251,9 @@
                 del self._messages[name]
         self.on_turn_finished()
 
+    def _on_action_failed(self, action: Action, error: Exception) -> None:
+        self.log.error("action_failed", action=type(action).__name__, error=repr(error))
+
     def _on_policy_error(self, error: Exception) -> None:
         """The policy raised: nothing that is open can be decided any more, and the process has to end."""
         self.log.error("policy_failed", error=f"{type(error).__name__}: {error}")
--- a/honeybarrow/message_guard.py
+++ b/honeybarrow/message_guard.py
@@ -160,6 +160,7 @@
     """
 
     is_strict: ClassVar[bool] = False  # of all guards of the process
+    strict_violations: ClassVar[list[Violation]] = []  # of strict guards, whoever catches what they raise
 
     def __init__(
         self, settings: Settings, on_violation: Callable[[Violation], object], max_stall_us: int = 0
@@ -439,6 +440,7 @@
         violation = Violation(rule, refusal, question, message, account.state if account else None)
         self._on_violation(violation)
         if self.is_strict:
+            self.strict_violations.append(violation)
             raise GuardViolationError(violation)
         return refusal
 
--- a/honeybarrow/node/calls.py
+++ b/honeybarrow/node/calls.py
@@ -432,6 +432,7 @@
             connection.close()
 
     def _close_expired(self) -> None:
+        self.clock.callLater(SWEEP_INTERVAL_S, self._close_expired)  # first, whatever becomes of this one
         now_s = self.clock.seconds()
         for connection in [
             each for each in self._awaiting_rest if each.since_s < now_s - RESPONSE_REST_TIMEOUT_S
@@ -442,4 +443,3 @@
             for connection in list(idle):
                 if connection.since_s < idle_before_s:
                     connection.close()
-        self.clock.callLater(SWEEP_INTERVAL_S, self._close_expired)
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -90,13 +90,14 @@
         self.clock.callLater(STATUS_INTERVAL_S, self._log_status)
 
     def _check_lag(self) -> None:
+        self.clock.callLater(LAG_CHECK_INTERVAL_S, self._check_lag)
         now = self.clock.seconds()
         self._max_lag_s = max(self._max_lag_s, now - self._lag_checked_at_s - LAG_CHECK_INTERVAL_S)
         self._lag_checked_at_s = now
         self.clock_monitor.check()
-        self.clock.callLater(LAG_CHECK_INTERVAL_S, self._check_lag)
 
     def _log_status(self) -> None:
+        self.clock.callLater(STATUS_INTERVAL_S, self._log_status)
         counts = self.forwarder.counters
         log.info(
             "status lag_ms=%d open_messages=%d calls=%d client_connections=%d idle_connections=%d "
@@ -113,7 +114,6 @@
             self.write_ahead_log.waiting_record_count,
         )  # fmt: skip
         self._max_lag_s = 0.0
-        self.clock.callLater(STATUS_INTERVAL_S, self._log_status)
 
 
 def _resident_kb() -> int:
--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -277,8 +277,8 @@
         return not self.connections
 
     def _sweep(self) -> None:
+        self.clock.callLater(SWEEP_INTERVAL_S, self._sweep)  # first, whatever becomes of this one
         self._apply_timeouts()
-        self.clock.callLater(SWEEP_INTERVAL_S, self._sweep)
 
     def _apply_timeouts(self) -> None:
         now = self.clock.seconds()
--- a/honeybarrow/soak/history.py
+++ b/honeybarrow/soak/history.py
@@ -106,13 +106,13 @@
                 found[event.forwarder].append(event)
         return found
 
-    def story(self, message: str) -> list[str]:
-        """Return all lines about a message and about the process that had it."""
+    def story(self, message: str, forwarder: str = "") -> list[str]:
+        """Return all lines about a message, if one is named, and about the process that had it."""
         facts = self.requests.get(message)
-        forwarder = facts.forwarder if facts else ""
+        forwarder = facts.forwarder if facts else forwarder
         own = (EventKind.PROCESS, EventKind.FAULT)
         return [
             event.format(self.started_s)
             for event in self.events
-            if event.message == message or (event.kind in own and event.forwarder == forwarder)
+            if (message and event.message == message) or (event.kind in own and event.forwarder == forwarder)
         ]
--- a/honeybarrow/soak/rules.py
+++ b/honeybarrow/soak/rules.py
@@ -261,7 +261,7 @@
         in_the_way = (FaultKind.SYSTEM_CALL, FaultKind.CROWD, FaultKind.CLIENT_LINK)
         for event in self.history.events:
             is_left_alone = event.kind is EventKind.BAD_CLIENT and event.detail == "left alone"
-            if is_left_alone and not self._is_ending(event.forwarder, event.at_s - 4.0, event.at_s):
+            if is_left_alone and not self._is_cut_off(event.forwarder, event.at_s - 4.0, event.at_s):
                 self._report(SoakRule.BAD_CLIENT, "half a request was left alone", "", event.forwarder)
             if event.kind is not EventKind.NO_ANSWER or event.detail != "closed new":
                 continue
@@ -273,6 +273,12 @@
                     SoakRule.LOST, "closed with no answer on a new connection", event.message, event.forwarder
                 )
 
+    def _is_cut_off(self, forwarder: str, start_s: float, end_s: float) -> bool:
+        """Whether a process is away, or its clients' link is disturbed, in a span."""
+        spans = self._fault_spans(forwarder, (FaultKind.CLIENT_LINK,))
+        is_disturbed = any(start_s < span.end_s and end_s > span.start_s for span in spans)
+        return is_disturbed or self._is_ending(forwarder, start_s, end_s)
+
     def _is_ending(self, forwarder: str, start_s: float, end_s: float) -> bool:
         """Whether a process ends or is away in a span, but for the time in which it serves as usual."""
         return any(
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -31,7 +31,7 @@
 WATCHDOG_INTERVAL_S = 0.2
 HALF_REQUEST_INTERVAL_S = 2.0
 SHUTDOWN_BATCH = 12
-_FAILURE_WORDS = ("Traceback", "reactor_failure", "policy_failed", "call_crashed")
+_FAILURE_WORDS = ("Traceback (most recent", "reactor_failure", "policy_failed", "call_crashed")
 
 
 @dataclass(slots=True)
--- a/honeybarrow/tcp_transports.py
+++ b/honeybarrow/tcp_transports.py
@@ -201,3 +201,19 @@
     def _resume_accepting(self) -> None:
         if self.connected:
             _watch(self.reactor, self.startReading, self._resume_accepting)
+
+
+def listen_tcp(reactor: Any, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+    """Listen on a TCP port of a reactor of Twisted's."""
+    listener = ResilientPort(port, factory, backlog, interface, reactor)
+    listener.startListening()
+    return listener
+
+
+def connect_tcp(
+    reactor: Any, host: str, port: int, factory: Any, timeout: float = 30.0, bind_address: Any = None
+) -> Any:
+    """Open a TCP connection by a reactor of Twisted's; ``timeout`` in seconds."""
+    connector = ResilientConnector(host, port, factory, timeout, bind_address, reactor)
+    connector.connect()
+    return connector
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
 """The same verdict every time: generated examples follow from the tests' text alone. And the known red."""
 
 import os
+from collections.abc import Iterator
 
+import pytest
 from hypothesis import settings
 
 from honeybarrow.message_guard import MessageGuard
@@ -13,5 +15,17 @@
 # A violation of the guard fails the test, also in the processes that it starts.
 MessageGuard.is_strict = True
 os.environ[STRICT_GUARD_VARIABLE] = "1"
+
+
+@pytest.fixture(autouse=True)
+def _no_guard_violation() -> Iterator[None]:
+    """Fail a test in which a strict guard reported a violation, also where Twisted caught what it raised."""
+    MessageGuard.strict_violations.clear()
+    yield
+    violations = list(MessageGuard.strict_violations)
+    MessageGuard.strict_violations.clear()
+    assert not violations
+
+
 settings.register_profile("same", derandomize=True, database=None)
 settings.load_profile("same")
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -10,6 +10,7 @@
 import os
 import socket
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -20,7 +21,7 @@
 from honeybarrow.node.config import ForwarderConfig, ResourceLimits
 from honeybarrow.node.endpoint_list import parse_address, parse_endpoint_list
 from honeybarrow.node.process import ForwarderProcess
-from honeybarrow.reactor import install_transports
+from honeybarrow.tcp_transports import connect_tcp, listen_tcp
 from tests.helpers import settings
 
 _Reactor: Any = selectreactor.SelectReactor
@@ -127,7 +128,8 @@
         self.reactor: Any = _Reactor()
         self.reactors.append(self.reactor)
         self.reactor.seconds = lambda: self.now_s
-        install_transports(self.reactor)
+        self.reactor.listenTCP = partial(listen_tcp, self.reactor)
+        self.reactor.connectTCP = partial(connect_tcp, self.reactor)
         self.is_stopped = False
         self.reactor.stop = self._stopped
         config = ForwarderConfig(
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -235,3 +235,5 @@
             task.cancel()
         for server in self.servers:
             server.close()
+        if (self.folder / "log").exists():
+            assert "guard_violation" not in self.read_log(), self.read_log()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -78,9 +78,11 @@
     bench.step_us = -5_000_000
     bench.run(0.5)
     for _ in range(200):
-        for _, call in bench.pool.calls:
-            if not call.called:
+        for (_, call), permit in zip(bench.pool.calls, bench.pool.permits, strict=True):
+            if not call.called and permit.record_start() == "":
                 call.callback(AttemptOutcome(AttemptStatus.ERROR))
+            elif not call.called:
+                call.callback(AttemptOutcome(AttemptStatus.NOT_SENT, True))
         bench.run(0.1)
     assert len(answers) == 1 and isinstance(answers[0], Refused) and bench.crashes == []
 
--- a/tests/test_message_guard.py
+++ b/tests/test_message_guard.py
@@ -115,6 +115,8 @@
     assert guard.may_forward("nobody", "gone", 0) is Refusal.ENDED
     with pytest.raises(GuardViolationError):
         guard.may_end("m", Result.DELIVERED)
+    assert [each.refusal for each in MessageGuard.strict_violations] == [Refusal.NOT_DELIVERED]
+    MessageGuard.strict_violations.clear()
 
 
 def test_accounts_are_closed_with_their_messages() -> None:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -55,7 +55,8 @@
 def test_the_platform_process_imports_no_heavy_library() -> None:
     code = (
         "import sys; sys.modules['OpenSSL'] = None\n"
-        "import honeybarrow.node.main, twisted.internet.reactor\n"
+        "import honeybarrow.node.main\n"
+        "from honeybarrow.reactor import get_reactor\nget_reactor()\n"
         "heavy = ['msgspec', 'structlog', 'click', 'opentelemetry', 'prometheus_client', 'starlark',"
         " 'cryptography', 'twisted.web', 'xxhash', 'honeybarrow.fleet', 'honeybarrow.consensus']\n"
         "print([name for name in heavy if name in sys.modules])"
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -85,7 +85,7 @@
         (SystemCall.RECV, (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET), 0.1),
         (SystemCall.SEND, (errno.EINTR, *LOCAL), 0.5),
         (SystemCall.SEND, (errno.EPIPE, errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH), 0.1),
-        (SystemCall.EPOLL_CTL, (errno.ENOMEM, errno.ENOSPC), 0.2),
+        (SystemCall.EPOLL_CTL, (errno.ENOMEM, errno.ENOSPC), 0.5),
         (SystemCall.SHUTDOWN, (errno.ENOTCONN, errno.ENOBUFS), 0.5),
     ],
 )
@@ -102,10 +102,20 @@
         await check_kept(platform, accepted)
         assert len(accepted) >= MESSAGES // 3
         assert "reactor_failure" not in platform.read_log()
+        await check_half_a_request_is_timed_out(platform)
 
     play(tmp_path, part)
 
 
+async def check_half_a_request_is_timed_out(platform: Platform) -> None:
+    """The timers of the front go on: a client that stops in the middle has its answer within 3 s."""
+    host, _, port = platform.listen.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"POST /note HTTP/1.1\r\nX")
+    assert (await asyncio.wait_for(reader.read(12), 3.0)).startswith(b"HTTP/1.1 408")
+    writer.close()
+
+
 @pytest.mark.parametrize("call", [SystemCall.SEND, SystemCall.RECV])
 def test_short_transfers_lose_nothing(tmp_path: Path, call: SystemCall) -> None:
     async def part(platform: Platform, shim: FaultShim) -> None:
