--- a/honeybarrow/cli/run.py
+++ b/honeybarrow/cli/run.py
@@ -11,6 +11,7 @@
 
 from honeybarrow.admission.identity import check_password, parse_accounts
 from honeybarrow.cli.exits import CANNOT_LISTEN, FAULT, fail
+from honeybarrow.clocks import steady_wall_clock_ns
 from honeybarrow.config import schema
 from honeybarrow.errors import USAGE_EXIT_STATUS, HoneybarrowError
 from honeybarrow.gc_tuning import reduce_gc_frequency
@@ -134,7 +135,8 @@
         raise AssertionError from None
     exporter = ConsoleSpanExporter(out=file, formatter=lambda span: span.to_json(indent=None) + "\n")
     processor = BatchSpanProcessor(exporter, max_queue_size=20_000)
-    return MessageTracer(settings.name, settings.observability.sampled_share, processor, time.time_ns)
+    wall_ns = steady_wall_clock_ns()
+    return MessageTracer(settings.name, settings.observability.sampled_share, processor, wall_ns)
 
 
 def message_counts(service: Any) -> dict[str, Any]:
--- a/honeybarrow/clocks.py
+++ b/honeybarrow/clocks.py
@@ -31,6 +31,15 @@
     return Clocks(lambda: time.monotonic_ns() // 1000, lambda: time.time_ns() // 1000, _read_boot_id())
 
 
+def steady_wall_clock_ns() -> Callable[[], int]:
+    """Return a clock that starts at the wall clock and then counts by the monotonic one, in nanoseconds.
+
+    For instants that are shown to people and whose differences are durations, as those of traces.
+    """
+    offset_ns = time.time_ns() - time.monotonic_ns()
+    return lambda: time.monotonic_ns() + offset_ns
+
+
 def _read_boot_id() -> str:
     for _ in range(READ_TRIES):
         try:
