A request that crosses the end of a resting connection is left unread, not discarded

By the terms in force a request that is read and gets no answer is lost; one that is unread is sent again by its client. Behind a last answer input is still discarded, since a reset would destroy the answer.

--- a/honeybarrow/node/front.py
+++ b/honeybarrow/node/front.py
@@ -171,9 +171,14 @@
         close_now(self.transport)
 
     def close_if_quiet(self) -> None:
-        """Half-close, unless unread input may be a request: it is read in the next turn, and answered."""
+        """Half-close, unless unread input may be a request: it is read in the next turn, and answered.
+
+        What comes behind the half-close is left unread. Danger: a request that is read and has no answer is
+        lost; one that is reset unread is sent again by its client.
+        """
         if not has_unread_bytes(self.transport):
             self.finish()
+            self.transport.pauseProducing()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Cancel the open request, if there is one."""
