Notifications whose connects fail at once are tried again quickly; a configuration later

Change: up to 20 failed connects in a row are tried again after 50 ms each; the configuration is read for 2 s at a start and 1.4 s at SIGHUP before it counts as failed.

--- a/honeybarrow/node/config.py
+++ b/honeybarrow/node/config.py
@@ -119,5 +119,5 @@
         with open(path, encoding="utf-8") as file:
             text = file.read(MAX_CONFIG_BYTES)
     except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(f"ROUTER_CONFIG: {error}") from None
+        raise ConfigError(f"ROUTER_CONFIG: {error}") from error
     return parse_config(text, environ)
--- a/honeybarrow/node/main.py
+++ b/honeybarrow/node/main.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import sys
+import time
 from typing import Any
 
 from twisted.logger import globalLogPublisher
@@ -21,6 +22,7 @@
 
 CONFIG_ERROR_STATUS = 2
 FAILURE_STATUS = 1
+CONFIG_READ_TRIES, CONFIG_READ_DELAY_S = 20, 0.1
 STRICT_GUARD_VARIABLE = "HONEYBARROW_STRICT_GUARD"  # set by tests: a violation of the guard is raised
 log = logging.getLogger("honeybarrow.node")
 
@@ -29,13 +31,28 @@
     """Run one forwarder until SIGTERM; return the exit status."""
     _configure_logging()
     try:
-        config = read_config(os.environ)
+        config = _read_config_patiently()
     except ConfigError as error:
         _log_config_error(error)
         return CONFIG_ERROR_STATUS
     return FAILURE_STATUS if _run(config) else 0
 
 
+def _read_config_patiently() -> ForwarderConfig:
+    """Read the configuration; a file that the system can't read now is tried again for two seconds.
+
+    :raises ConfigError: if it can't be read, or at once if it can't be used.
+    """
+    for _ in range(CONFIG_READ_TRIES - 1):
+        try:
+            return read_config(os.environ)
+        except ConfigError as error:
+            if not isinstance(error.__cause__, OSError):
+                raise
+            time.sleep(CONFIG_READ_DELAY_S)
+    return read_config(os.environ)
+
+
 def _configure_logging() -> None:
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(TwoClockFormatter())
--- a/honeybarrow/node/notifications.py
+++ b/honeybarrow/node/notifications.py
@@ -24,6 +24,7 @@
 HOLD_CHECK_S = 0.05  # between looks at notifications that may not be sent yet
 CONNECT_TIMEOUT_S = 3.0  # of a connection, beside which others are tried
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 1.0  # first delay after a failure, doubled up to the second
+MAX_QUICK_CONNECTS = 20  # failed ones in a row that are tried again after the first delay
 MAX_IDLE_S = 1.5  # after which a keep-alive connection carries no further batch
 MAX_LATE_CONNECTIONS = 3
 ACKNOWLEDGED_STATUS = 204
@@ -114,6 +115,7 @@
         self._late: list[_NotificationConnection] = []
         self._idle: _NotificationConnection | None = None
         self._retry_delay_s = MIN_RETRY_DELAY_S
+        self._failed_connects = 0  # since the last acknowledgement
         self._answer_timeout_s = MIN_ANSWER_TIMEOUT_S
         self._timer: DelayedCall | None = None
         self._is_flushable = False  # the timer waits for the end of the turn alone
@@ -194,6 +196,7 @@
             return
         self._acknowledge(connection.batch)
         self._retry_delay_s, self._answer_timeout_s = MIN_RETRY_DELAY_S, MIN_ANSWER_TIMEOUT_S
+        self._failed_connects = 0
         if is_reusable:
             self._idle, connection.idle_since_s = connection, self.clock.seconds()
         else:
@@ -214,6 +217,11 @@
         if connection is self._active:
             self._active = None
             self._clear_timer()
+            if connection.transport is None and self._failed_connects < MAX_QUICK_CONNECTS:
+                # Danger: a connect that fails at once costs the platform nothing, and with the delays of a
+                # platform that does not answer a notification soon comes too late.
+                self._failed_connects += 1
+                self._retry_delay_s = MIN_RETRY_DELAY_S
             self._schedule_retry("connection_lost", connection.batch)
 
     def _on_answer_timeout(self, connection: _NotificationConnection) -> None:
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -36,6 +36,7 @@
 MAX_STALL_US = 150_000  # the platform may hold a process up for so long at any point
 LOG_RETRY_INTERVAL_S = 0.1  # while the state folder fails
 LISTEN_BACKLOG = 512
+RELOAD_TRIES, RELOAD_RETRY_DELAY_S = 8, 0.2
 LISTEN_RETRY_DELAY_S = 0.2
 LISTEN_TIMEOUT_S = 20.0  # a start has to be over within 30 s
 log = logging.getLogger("honeybarrow.node")
@@ -300,12 +301,19 @@
             case SignalRequest.SHUT_DOWN:
                 self.shutdown.start()
 
-    def reload(self) -> None:
-        """Read the configuration again: discovery may have another address. All else stays as it started."""
+    def reload(self, tries_left: int = RELOAD_TRIES) -> None:
+        """Read the configuration again: discovery may have another address. All else stays as it started.
+
+        A file that can't be read or used is tried again for a while: it may be about to be replaced, or
+        descriptors may have run short.
+        """
         try:
             config = read_config(os.environ)
         except ConfigError as error:
-            self._log_reload_failure(error)
+            if tries_left <= 1:
+                self._log_reload_failure(error)
+            else:
+                self.reactor.callLater(RELOAD_RETRY_DELAY_S, self.reload, tries_left - 1)
             return
         log.info("reload_finished discovery=%s:%d", *config.discovery_address)
         self.discovery.change_address(config.discovery_address)
--- a/tests/test_shutdown_and_kill.py
+++ b/tests/test_shutdown_and_kill.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import socket
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -312,3 +314,22 @@
     rig.advance_until(lambda: not rig.process.notifications.unacknowledged, 0.1)
     rig.advance(3.0)
     assert len(rig.receive_notifications()) == 2
+
+
+def test_a_notification_whose_connects_fail_at_once_is_tried_again_quickly(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nine failed connects in a row cost half a second, not the growing delays of a silent platform."""
+    connect, failures = socket.socket.connect_ex, [0]
+
+    def fail_nine_times(own: socket.socket, address: tuple[str, int]) -> int:
+        failures[0] += 1
+        return errno.ENETUNREACH if failures[0] <= 18 else connect(own, address)  # each is tried twice
+
+    rig.submit("p1", "pay")
+    call = rig.read_call()
+    monkeypatch.setattr(socket.socket, "connect_ex", fail_nine_times)
+    call.write(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+    decided_s = rig.now_s
+    rig.advance_until(rig.receive_notifications, 5)
+    assert failures[0] >= 18 and rig.now_s - decided_s < 0.9
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -188,3 +188,28 @@
         assert await platform.submit("m2") == 202
 
     play(tmp_path, part)
+
+
+def test_a_configuration_that_can_not_be_read_now_is_read_later(tmp_path: Path) -> None:
+    """At a start and at SIGHUP: the file is put in place half a second late."""
+
+    async def part(platform: Platform, shim: FaultShim) -> None:
+        assert platform.process is not None
+        config, away = platform.folder / "config.json", platform.folder / "away.json"
+        platform.discovery_name = "second"
+        platform.configure()
+        config.rename(away)
+        platform.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        away.rename(config)
+        await platform.wait_until(lambda: [name for name, _ in platform.watches][-1] == "second", 3.0)
+        assert "reload_failed" not in platform.read_log()
+        await platform.end_forwarder(signal.SIGKILL)
+        starting = asyncio.create_task(platform.start_forwarder())
+        await asyncio.sleep(0)
+        config.rename(away)
+        await asyncio.sleep(0.6)
+        away.rename(config)
+        await starting
+
+    play(tmp_path, part)
