--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -146,8 +146,9 @@
             call = context.transport.call(action.target, addresses, payload, action.timeout_us, permit)
         except Exception as error:  # a transport that raises has lost the call, whatever it is
             call = fail(error)
-        call.addCallback(self._on_call_finished, message, attempt, action.target, started_us)
-        call.addErrback(self._on_call_crashed, message, attempt, action.target, started_us)
+        known = (message, attempt, action.target, started_us)
+        call.addCallbacks(self._on_call_finished, self._on_call_crashed, known, {}, known, {})
+        call.addErrback(self._on_handler_crashed)
 
     def _on_call_finished(
         self, outcome: AttemptOutcome, message: InFlightMessage, attempt: int, target: str, started_us: int
@@ -158,10 +159,16 @@
     def _on_call_crashed(
         self, failure: Failure, message: InFlightMessage, attempt: int, target: str, started_us: int
     ) -> None:
+        self.calls_in_flight -= 1
         self.context.log.error("call_crashed", error=failure.getErrorMessage())
-        outcome = AttemptOutcome(AttemptStatus.RESET, reason="fault")
+        state = self.context.guard.state_of(message.submission.message)
+        not_run = state is not MessageState.IN_FLIGHT  # its first byte was never permitted
+        outcome = AttemptOutcome(AttemptStatus.RESET, not_run, reason="fault")
         self._record_outcome(message, attempt, target, started_us, outcome)
 
+    def _on_handler_crashed(self, failure: Failure) -> None:
+        self.context.log.error("call_handler_crashed", error=failure.getTraceback())
+
     def _record_outcome(
         self, message: InFlightMessage, attempt: int, target: str, started_us: int, outcome: AttemptOutcome
     ) -> None:
