--- a/honeybarrow/__init__.py
+++ b/honeybarrow/__init__.py
@@ -36,7 +36,7 @@
     WeightSource,
 )
 
-__version__ = "0.3.0"
+__version__ = "0.4.0"
 __all__ = [
     "Action",
     "AttemptFinished",
--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -31,7 +31,7 @@
 class ForwarderUnderTest:
     """A forwarder with its state folder, over all its processes.
 
-    ``descriptors``: its limit; ``source``: the checkout whose program it runs, ``None`` for this one.
+    ``descriptors``: its limit; ``port``: that it listens on; ``source``: the checkout whose program it runs, ``None`` for this one.
     """
 
     def __init__(
@@ -44,13 +44,14 @@
         shim: FaultShim | None,
         descriptors: int,
         source: Path | None,
+        port: int,
     ) -> None:
         self.name, self.folder, self.settings = name, folder, settings
         self.discovery, self.history, self.shim, self.descriptors = discovery, history, shim, descriptors
         self.source = source
         self.state = folder / "state"
         self.state.mkdir(parents=True, exist_ok=True)
-        self.address = (discovery.host, _free_port(discovery.host))
+        self.address = (discovery.host, port)
         self.discovery_number = 0  # which of the two addresses it uses
         self.process: subprocess.Popen[bytes] | None = None
         self.is_ending = False  # by a signal of the plan
@@ -203,6 +204,10 @@
         return _VIOLATION.findall(self.log_text())
 
 
-def _free_port(host: str) -> int:
-    with socket.create_server((host, 0)) as probe:
-        return int(probe.getsockname()[1])
+def free_ports(host: str, count: int) -> list[int]:
+    """Return ports that are free and differ: found one by one, the same could come twice."""
+    probes = [socket.create_server((host, 0)) for _ in range(count)]
+    ports = [int(probe.getsockname()[1]) for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -19,7 +19,7 @@
 from honeybarrow.soak.discovery import StandInDiscovery
 from honeybarrow.soak.endpoints import EndpointMode, StandInEndpoint
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
-from honeybarrow.soak.forwarder_process import ForwarderUnderTest
+from honeybarrow.soak.forwarder_process import ForwarderUnderTest, free_ports
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.link import LinkCondition
 from honeybarrow.soak.plan import Fault, FaultKind, SoakSpec, draw_faults
@@ -106,8 +106,8 @@
                 await self._add_endpoint(destination, names)
         for name in names:
             await self.discovery.listen(name)
-        for name in names:
-            self._add_forwarder(name)
+        for name, port in zip(names, free_ports(self.host, len(names)), strict=True):
+            self._add_forwarder(name, port)
         for start in range(0, len(names), MAX_START_BATCH):
             batch = names[start : start + MAX_START_BATCH]
             await asyncio.gather(*(self.forwarders[name].start() for name in batch))
@@ -122,7 +122,7 @@
         self.discovery.set_status(endpoint, "active")
         return endpoint
 
-    def _add_forwarder(self, name: str) -> None:
+    def _add_forwarder(self, name: str, port: int) -> None:
         folder = self.folder / name
         folder.mkdir(parents=True)
         if self.library is not None:
@@ -137,6 +137,7 @@
             self.shims.get(name),
             self.spec.descriptors,
             self.source,
+            port,
         )
         self.forwarders[name] = forwarder
         destinations = list(range(1, self.spec.destinations + 1))
