--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -31,7 +31,8 @@
 class ForwarderUnderTest:
     """A forwarder with its state folder, over all its processes.
 
-    ``descriptors``: its limit; ``port``: that it listens on; ``source``: the checkout whose program it runs, ``None`` for this one.
+    ``descriptors``: its limit; ``port``: that it listens on; ``source``: the checkout whose program it runs,
+    ``None`` for this one.
     """
 
     def __init__(
