HTTP calls: connection, call and pool in modules of their own

Change: http_connection, http_call, http_connection_pool, moved as they stood; the mutant names the reactor's clock, and a test holds that each mutant can be made.

--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -70,7 +70,7 @@
     "none": _mutant((*CLOCKS, *ENDPOINTS, *FOLDERS)),
     "mend: timers by the wall clock": _mutant(
         (*CLOCKS, *ENDPOINTS),
-        ("reactor.py", "    reactor.seconds = time.monotonic\n", ""),
+        ("resilient_reactor.py", "staticmethod(time.monotonic)", "staticmethod(time.time)"),
     ),
     "mend: log time by the wall clock": _mutant(
         (*CLOCKS, *ENDPOINTS, FaultKind.KILL),
@@ -195,14 +195,14 @@
     "a call never times out": _mutant(
         ENDPOINTS,
         (
-            "node/calls.py",
+            "node/http_call.py",
             "    def _on_timeout(self) -> None:\n        self.timer = None\n",
             "    def _on_timeout(self) -> None:\n        self.timer = None\n        return\n",
         ),
     ),
     "a reset is taken for a failed connect": _mutant(
         (FaultKind.ENDPOINT_MODE, FaultKind.LINK),
-        ("node/calls.py", "elif not self.is_started or self._is_cut_off(connection):", "elif True:"),
+        ("node/http_call.py", "elif not self.is_started or self._is_cut_off(connection):", "elif True:"),
     ),
     "a notification is not sent again": _mutant(
         (FaultKind.DISCOVERY_LINK, FaultKind.SYSTEM_CALL, *ENDPOINTS),
@@ -249,7 +249,10 @@
     mutant = MUTANTS[name]
     with tempfile.TemporaryDirectory(prefix="honeybarrow-mutant-") as top:
         folder = Path(top)
-        source = make_source(mutant, folder / "source")
+        try:
+            source = make_source(mutant, folder / "source")
+        except ValueError as error:
+            return f"can't be made: {error}"
         library = build_shim(folder)
         for seed in range(1, seeds + 1):
             spec = SoakSpec(seed, FORWARDERS, load_s=LOAD_S, faults=FAULTS, kinds=mutant.kinds)
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -7,9 +7,9 @@
 
 from honeybarrow.delivery import Forwarder
 from honeybarrow.events import AttemptStatus
-from honeybarrow.node.calls import HttpConnectionPool
 from honeybarrow.node.clock_monitor import ClockMonitor
 from honeybarrow.node.front import Front
+from honeybarrow.node.http_connection_pool import HttpConnectionPool
 from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.submission import SubmissionService
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -14,7 +14,6 @@
 from honeybarrow.delivery import Forwarder
 from honeybarrow.errors import HoneybarrowError, format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
-from honeybarrow.node.calls import HttpConnectionPool
 from honeybarrow.node.clock_monitor import ClockMonitor
 from honeybarrow.node.config import ConfigError, ForwarderConfig, read_config
 from honeybarrow.node.descriptor_budget import DescriptorBudget, allocate_descriptors
@@ -22,6 +21,7 @@
 from honeybarrow.node.endpoint_list import EndpointList, EndpointTable
 from honeybarrow.node.event_log import EventLog, StatusLog
 from honeybarrow.node.front import Front
+from honeybarrow.node.http_connection_pool import HttpConnectionPool
 from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.shutdown import GracefulShutdown
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -21,7 +21,7 @@
     ignore_cancelled,
 )
 from honeybarrow.key_hash import hash_order_key
-from honeybarrow.node.calls import HttpPayload
+from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.rate_limited_log import RateLimitedLog
 from honeybarrow.node.request_parser import RejectedRequest, SubmittedMessage, parse_submission
--- a/tests/platform_bench.py
+++ b/tests/platform_bench.py
@@ -13,13 +13,14 @@
 from honeybarrow import http
 from honeybarrow.delivery import AttemptOutcome, Forwarder
 from honeybarrow.events import AttemptStatus, Endpoint, EndpointState, MembershipUpdate, UpdateKind
-from honeybarrow.node.calls import HttpConnectionPool, HttpPayload
 from honeybarrow.node.discovery import Discovery
 from honeybarrow.node.endpoint_list import (
     EndpointList,
 )
 from honeybarrow.node.event_log import EventLog
 from honeybarrow.node.front import Front
+from honeybarrow.node.http_call import HttpPayload
+from honeybarrow.node.http_connection_pool import HttpConnectionPool
 from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.submission import SubmissionService
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from honeybarrow.node import calls as node_calls
+from honeybarrow.node import http_connection_pool
 from honeybarrow.node.sockets import is_open_and_quiet
 from tests.crossing import OK, Rig
 
@@ -181,7 +181,7 @@
     if when == "before the look":
         first.close()
     else:
-        monkeypatch.setattr(node_calls, "is_open_and_quiet", end_behind)
+        monkeypatch.setattr(http_connection_pool, "is_open_and_quiet", end_behind)
     rig.submit("p1", "pay")
     monkeypatch.undo()
     if calls:
--- a/tests/test_golden_calls.py
+++ b/tests/test_golden_calls.py
@@ -12,7 +12,8 @@
 from twisted.internet import error, testing
 from twisted.python.failure import Failure
 
-from honeybarrow.node.calls import HttpConnectionPool, HttpPayload
+from honeybarrow.node.http_call import HttpPayload
+from honeybarrow.node.http_connection_pool import HttpConnectionPool
 from honeybarrow.settings import Idempotency
 from tests.helpers import SECOND, FakePermit
 
--- a/tests/test_golden_platform.py
+++ b/tests/test_golden_platform.py
@@ -21,9 +21,9 @@
 from honeybarrow.events import AttemptStatus
 from honeybarrow.http import Request
 from honeybarrow.log_timeline import ClockAnchor, ClockReading
-from honeybarrow.node.calls import HttpPayload
 from honeybarrow.node.config import parse_config
 from honeybarrow.node.endpoint_list import EndpointList, WatchReader
+from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.log_records import decode_records, encode_record
 from honeybarrow.node.request_parser import RejectedRequest, parse_submission
 from honeybarrow.node.write_ahead_log import WriteAheadLog
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -7,7 +7,7 @@
 import pytest
 
 from honeybarrow.delivery import AttemptOutcome
-from honeybarrow.node.calls import HttpPayload
+from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.http_outcome import classify_response, parse_load_report
 from honeybarrow.settings import Idempotency
 from tests.helpers import SECOND, FakePermit
--- a/tests/test_shutdown_and_kill.py
+++ b/tests/test_shutdown_and_kill.py
@@ -16,7 +16,7 @@
 import pytest
 
 from honeybarrow.message_guard import MAX_SHUTDOWN_US, Refusal
-from honeybarrow.node import calls as node_calls
+from honeybarrow.node.http_connection import HttpConnection
 from honeybarrow.node.shutdown import CLOSE_GRACE_US
 from honeybarrow.node.signals import SignalRequest
 from tests.crossing import NO_CONTENT, OK, PeerConnection, ProcessKilledError, Rig
@@ -95,7 +95,7 @@
 
 
 def _kill_before_first_byte(rig: Rig) -> None:
-    sending: Any = node_calls.HttpConnection
+    sending: Any = HttpConnection
     send = sending.send_request
 
     def stop_and_raise(*given: Any) -> Any:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -281,3 +281,8 @@
         data, at_s = data[size:], at_s + 1.0
     assert [(each.start_line.split()[1], each.body) for each in found] == [("/x", b"abc"), ("/y", b"")]
     assert found[0].first_byte_s == 0.0 < found[0].last_byte_s <= found[1].first_byte_s
+
+
+def test_each_mutant_of_the_soak_can_be_made(tmp_path: Path) -> None:
+    for number, mutant in enumerate(MUTANTS.values()):
+        make_source(mutant, tmp_path / str(number))
--- a/tests/test_write_ahead_log.py
+++ b/tests/test_write_ahead_log.py
@@ -11,7 +11,7 @@
 import pytest
 
 from honeybarrow.events import AttemptStatus
-from honeybarrow.node.calls import HttpPayload
+from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.log_records import decode_records, encode_record
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.recovery import (
