--- a/honeybarrow/soak/link.py
+++ b/honeybarrow/soak/link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -77,7 +78,8 @@
     def half_close(self) -> None:
         """End sending, and go on reading."""
         if self.transport is not None and not self.is_lost and self.transport.can_write_eof():
-            self.transport.write_eof()
+            with contextlib.suppress(OSError):  # the forwarder may have closed it this very moment
+                self.transport.write_eof()
 
     def close(self) -> None:
         """Close."""
--- a/honeybarrow/soak/rules.py
+++ b/honeybarrow/soak/rules.py
@@ -382,17 +382,13 @@
                 and back_s <= call.last_byte_s <= back_s + settings.WARM_UP_S
             ]
             for number, start_s in enumerate(times):
-                warm = min(1.0, (start_s - back_s) / settings.WARM_UP_S)
-                capacity = settings.START_CAPACITY + (1 - settings.START_CAPACITY) * warm
-                allowed = (
-                    settings.COLLAPSE_MULTIPLE
-                    * settings.CAPACITY_PER_S
-                    * capacity
-                    * settings.COLLAPSE_WINDOW_S
-                )
+                end_s = start_s + settings.COLLAPSE_WINDOW_S
+                warm = (_warm_share(start_s - back_s) + _warm_share(end_s - back_s)) / 2  # it grows evenly
+                rate_per_s = settings.COLLAPSE_MULTIPLE * settings.CAPACITY_PER_S * warm
+                allowed = rate_per_s * settings.COLLAPSE_WINDOW_S
                 factor = 3 if allowed < SMALL_BUDGET else 2
                 budget = allowed + factor * math.sqrt(allowed) + factor
-                inside = sum(at_s <= start_s + settings.COLLAPSE_WINDOW_S for at_s in times[number:])
+                inside = sum(at_s <= end_s for at_s in times[number:])
                 if inside > budget:
                     text = f"destination {fault.place} got {inside} calls where {budget:.0f} are allowed"
                     self._report(SoakRule.OVERLOAD, text)
@@ -411,3 +407,9 @@
                 is_meant = event.detail == "exited -9" and any(e.place == event.forwarder for e in torn)
                 if not is_meant:
                     self._report(SoakRule.CRASH, event.detail, "", event.forwarder)
+
+
+def _warm_share(age_s: float) -> float:
+    """Return the part of its capacity that a destination has so long after its return."""
+    warmth = min(1.0, age_s / settings.WARM_UP_S)
+    return settings.START_CAPACITY + (1 - settings.START_CAPACITY) * warmth
