Log the connection of a failed attempt, and each response that no request accounts for

Change: attempt_failed names connection and connection_requests; surplus_response has a line (endpoint, connection, age, status) at a limited rate and a count by endpoint in the status line. No decision changes.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -203,6 +203,8 @@
             retry_after_us=outcome.retry_after_us,
             code=outcome.reply.code if outcome.reply else None,
             reason=outcome.reason,
+            connection=outcome.connection.number if outcome.connection else None,
+            connection_requests=outcome.connection.requests if outcome.connection else None,
             elapsed_us=elapsed_us,
             state_before=state_before.value,
             state_after=message.state.value,
--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -6,12 +6,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from honeybarrow.events import AttemptStatus
 from honeybarrow.mail import Phase, Reply
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """The connection of an attempt: its number in the process, and how many requests it has carried."""
+
+    number: int
+    requests: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
     """The outcome of one attempt.
@@ -19,7 +27,7 @@
     ``reply`` is the partner's reply, if there was one. ``not_run`` is set if the message was certainly not
     executed. ``is_completed`` is set if the partner reports that the message has already been completed.
     ``no_slot_free`` is set if the attempt was not sent because this forwarder has no call slot free, by its
-    own count or by the partner's.
+    own count or by the partner's. ``connection`` is for logs only.
     """
 
     status: AttemptStatus
@@ -30,6 +38,7 @@
     reason: str = ""
     is_completed: bool = False
     no_slot_free: bool = False
+    connection: ConnectionUse | None = field(default=None, compare=False, repr=False)
 
 
 def classify_reply(reply: Reply, phase: Phase) -> AttemptOutcome:
--- a/honeybarrow/http/client.py
+++ b/honeybarrow/http/client.py
@@ -94,6 +94,12 @@
         """Whether bytes follow the response."""
         return bool(self._buffer)
 
+    def take_surplus(self) -> bytes:
+        """Return and remove the bytes that follow the response."""
+        surplus = bytes(self._buffer)
+        self._buffer.clear()
+        return surplus
+
     def receive(self, data: bytes) -> list[Event]:
         """Parse received bytes; return the events that they complete."""
         self.has_started = True
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -13,6 +13,7 @@
 from honeybarrow.node.message_event_log import MessageEventLog
 from honeybarrow.node.notifications import NotificationSender
 from honeybarrow.node.submission import SubmissionService
+from honeybarrow.node.surplus_responses import SurplusResponseLog
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.ports import Clock
 
@@ -72,8 +73,9 @@
         notifications: NotificationSender,
         write_ahead_log: WriteAheadLog,
         clock_monitor: ClockMonitor,
+        surplus_responses: SurplusResponseLog,
     ) -> None:
-        self.clock_monitor = clock_monitor
+        self.clock_monitor, self.surplus_responses = clock_monitor, surplus_responses
         self.clock, self.forwarder, self.pool, self.front = clock, forwarder, pool, front
         self.submissions, self.notifications, self.write_ahead_log = (
             submissions,
@@ -103,7 +105,7 @@
             "status lag_ms=%d open_messages=%d calls=%d client_connections=%d idle_connections=%d "
             "connects=%d pending_notifications=%d log_bytes=%d rss_kb=%d accepted=%d rejected=%d "
             "delivered=%d refused=%d failed=%d bad_requests=%d evictions=%s rejections=%s outcomes=%s "
-            "guard_violations=%s waiting_records=%d",
+            "guard_violations=%s waiting_records=%d surplus_responses=%s",
             self._max_lag_s * 1000, self.forwarder.open_count, self.forwarder.calls_in_flight,
             len(self.front.connections),
             self.pool.idle_count, self.pool.connects_started, len(self.notifications.unacknowledged),
@@ -111,7 +113,7 @@
             counts.accepted, counts.rejected, counts.delivered, counts.refused, counts.failed,
             self.front.bad_request_count, self.front.eviction_counts, self.submissions.rejection_counts,
             counts.outcomes, {rule.value: n for rule, n in self.forwarder.guard.violation_counts.items()},
-            self.write_ahead_log.waiting_record_count,
+            self.write_ahead_log.waiting_record_count, dict(self.surplus_responses.counts),
         )  # fmt: skip
         self._max_lag_s = 0.0
 
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -14,7 +14,7 @@
 
 from honeybarrow import http
 from honeybarrow.delivery.connector import Connector
-from honeybarrow.delivery.outcome import AttemptOutcome
+from honeybarrow.delivery.outcome import AttemptOutcome, ConnectionUse
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
 from honeybarrow.node.http_connection import HttpConnection
@@ -74,11 +74,11 @@
             self.timer = clock.callLater(left_s, self._on_timeout)
             self.on_connection_ready(idle)
             return
+        self.pool.connects_started += 1
         self.connection = connection = HttpConnection(self.pool, self.target, address)
         connection.call = self
         wait_s = min(left_s, self.pool.connect_timeout_s)
         self.timer = clock.callLater(wait_s, self._on_timeout)
-        self.pool.connects_started += 1
         self.connector = self.pool.network.connectTCP(*address, Connector(connection), timeout=wait_s + 1)
 
     def on_connection_ready(self, connection: HttpConnection) -> None:
@@ -189,7 +189,15 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        outcome = self._with_connection(outcome)
         self.connection = self.connector = None
         if not self.result.called:
             del self.pool.active_calls[self]
             self.result.callback(outcome)
+
+    def _with_connection(self, outcome: AttemptOutcome) -> AttemptOutcome:
+        """Add the connection to the outcome of a failed call, for the log."""
+        connection = self.connection
+        if connection is None or outcome.status is AttemptStatus.OK:
+            return outcome
+        return replace(outcome, connection=ConnectionUse(connection.number, connection.requests))
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -26,6 +26,9 @@
 
     def __init__(self, pool: HttpConnectionPool, target: str, address: SocketAddress) -> None:
         self.pool, self.target, self.address = pool, target, address
+        self.number = pool.connects_started  # unique in the process
+        self.requests = 0
+        self.connected_at_s = pool.clock.seconds()
         self.call: HttpCall | None = None
         self.reader: http.ResponseReader | None = None
         self.head: http.Head | None = None
@@ -43,12 +46,13 @@
     def send_request(self, data: bytes) -> bool:
         """Write a request; return whether all of it was handed to the operating system."""
         self.reader, self.head = http.ResponseReader(http.MAX_BODY_BYTES), None
+        self.requests += 1
         return write_now(self.transport, data)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; called by Twisted."""
         if self.reader is None:  # unsolicited data would be taken for the next call's response
-            self.close()
+            self._on_surplus(data)
             return
         for event in self.reader.receive(data):
             match event:
@@ -64,13 +68,20 @@
                     self.close()
 
     def _on_response_complete(self, can_reuse: bool) -> None:
-        head, self.reader = self.head, None
+        head, reader, self.reader = self.head, self.reader, None
         if head is not None and head.status != 200:
             self._finish_by_head(head)
         if can_reuse and self.call is None and not self.is_closed:
             self.pool.add_idle(self)
-        else:
-            self.close()
+            return
+        if reader is not None and reader.has_surplus:
+            self._on_surplus(reader.take_surplus())
+        self.close()
+
+    def _on_surplus(self, data: bytes) -> None:
+        """Report bytes that belong to no request, and close the connection."""
+        self.pool.report_surplus(self, data)
+        self.close()
 
     def _on_invalid_response(self, event: http.InvalidResponse) -> None:
         remedy = "tell the target's owner: its responses are not valid HTTP/1.1 within the protocol's limits"
--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -14,6 +14,7 @@
 from honeybarrow.node.keep_alive import KeepAlivePolicy
 from honeybarrow.node.rate_limited_log import RateLimitedLog
 from honeybarrow.node.sockets import has_unread_bytes, is_open_and_quiet
+from honeybarrow.node.surplus_responses import ReportSurplus, SurplusResponse, read_status
 from honeybarrow.ports import AttemptPermit, Clock, Network
 from honeybarrow.settings import Idempotency
 
@@ -28,7 +29,8 @@
     """Pool of connections to all targets.
 
     ``max_idle`` limits the idle connections, ``max_connections`` the idle and active ones together.
-    ``can_send_to`` returns whether the current endpoint list allows new calls to a target.
+    ``can_send_to`` returns whether the current endpoint list allows new calls to a target. ``report_surplus``
+    is called with each response that no request accounts for.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         load_report_fields: Sequence[str],
         can_send_to: Callable[[str], bool],
         max_connections: int = UNLIMITED_CONNECTIONS,
+        report_surplus: ReportSurplus = lambda response: None,
     ) -> None:
         self.network, self.clock, self.max_connections = network, clock, max_connections
         self.connect_timeout_s = connect_timeout_us / 1e6
@@ -49,6 +52,7 @@
         self.active_calls: dict[HttpCall, None] = {}
         self._responses_read_at_s = clock.seconds()
         self.connects_started = 0
+        self._report_surplus = report_surplus
         self.keep_alive = KeepAlivePolicy()
         self.rate_limited_log = RateLimitedLog(clock.seconds)
         self._idle_by_target: dict[str, list[HttpConnection]] = {}
@@ -95,6 +99,15 @@
             if connection is not None and has_unread_bytes(connection.transport):
                 connection.transport.doRead()
 
+    def report_surplus(self, connection: HttpConnection, data: bytes) -> None:
+        """Report bytes that arrived on a connection while no response was due on it."""
+        age_s = self.clock.seconds() - connection.connected_at_s
+        self._report_surplus(
+            SurplusResponse(
+                connection.target, connection.number, connection.requests, int(age_s * 1e6), read_status(data)
+            )
+        )
+
     def _ensure_capacity(self) -> bool:
         """Return whether another connection may be opened, closing idle connections if necessary."""
         while self.calls_in_flight + self.idle_count + len(self._awaiting_rest) >= self.max_connections:
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -30,6 +30,7 @@
 from honeybarrow.node.shutdown import GracefulShutdown
 from honeybarrow.node.signals import SignalRequest
 from honeybarrow.node.submission import SubmissionService
+from honeybarrow.node.surplus_responses import SurplusResponseLog
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.recovery import FinalResult, ResumedMessage, plan_recovery
 
@@ -69,6 +70,7 @@
         budget = allocate_descriptors(config.limits.descriptors, config.settings.slots)
         self.write_ahead_log = self._build_write_ahead_log()
         self.message_events = MessageEventLog(reactor.seconds)
+        self.surplus_responses = SurplusResponseLog(self.message_events)
         self.endpoints = EndpointTable()
         self.pool = self._build_pool(budget)
         self.forwarder = self._build_forwarder()
@@ -101,6 +103,7 @@
             settings.load_report_fields,
             self.endpoints.accepts_calls,
             budget.endpoint_connections,
+            self.surplus_responses.record,
         )
 
     def _build_forwarder(self) -> Forwarder:
@@ -170,6 +173,7 @@
             self.notifications,
             self.write_ahead_log,
             ClockMonitor(self._clocks),
+            self.surplus_responses,
         )
 
     # start
