Soak: requests without an order key no longer exclude each other

Need: the empty key of unordered classes counted as busy, so one request at a time went to a forwarder and connections were hardly reused. Cause: ClientPool._send_request put the empty key into the busy keys. Change: only a key can be busy.

--- a/honeybarrow/soak/clients.py
+++ b/honeybarrow/soak/clients.py
@@ -88,6 +88,9 @@
     async def _send_request(self) -> None:
         message_class = self._rng.choices(CLASSES, [each.traffic_share for each in CLASSES])[0]
         order_key = f"k{self._rng.randrange(ORDER_KEY_COUNT)}" if message_class.is_ordered else ""
+        if not order_key:
+            await self._submit(message_class, order_key)
+            return
         if order_key in self._busy_keys:
             return  # An ordered key has at most one request in flight.
         self._busy_keys[order_key] = None
