Soak: the end of one fault leaves others on the same link or endpoint in force

Need: overlapping faults cleared each other, so long combinations were never played. Cause: a fault set fields of the link or the endpoint and reset them at its end. Change: impairments, modes and outages are held one by one and end one by one.

--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -8,10 +8,11 @@
 import socket
 import time
 from collections import deque
+from dataclasses import dataclass
 
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.http_messages import HttpMessage, HttpMessageReader
-from honeybarrow.soak.link import LinkCondition, LinkConnection
+from honeybarrow.soak.link import Impairment, LinkCondition, LinkConnection
 
 MIN_LATENCY_S, MAX_LATENCY_S = 0.01, 0.12
 MAX_ACTIVE_CALLS = 60  # per endpoint; further calls get 503
@@ -35,6 +36,18 @@
     CLOSE_IDLE = "close_idle"  # answers 200, then closes the connection
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class ActiveMode:
+    """A failure of an endpoint, until it ends; ``probability`` applies to each call."""
+
+    mode: EndpointMode
+    probability: float
+    retry_after_s: float
+
+
+_SILENCE = Impairment(is_silent=True)
+
+
 class _EndpointConnection(LinkConnection):
     """Connection from a forwarder to an endpoint."""
 
@@ -82,12 +95,14 @@
     def __init__(self, name: str, destination: int, host: str, history: History, rng: random.Random) -> None:
         self.name, self.destination, self.host = name, destination, host
         self.history, self._rng = history, rng
-        self.mode, self.mode_probability, self.retry_after_s = EndpointMode.SERVE, 1.0, 0.5
+        self._modes: list[ActiveMode] = []
+        self._outages = 0  # crashes and failures of the network that have not ended
         self.links: dict[str, LinkCondition] = {}
         self.ports: dict[str, int] = {}
         self.connections: dict[_EndpointConnection, None] = {}
         self._servers: dict[str, asyncio.Server] = {}
         self._backlog_sockets: list[socket.socket] = []
+        self._silences = 0  # of the outages, those in which the network fails
         self.active_calls = 0
 
     async def listen(self, forwarder: str) -> None:
@@ -102,8 +117,38 @@
         )
         self.ports[forwarder] = server.sockets[0].getsockname()[1]
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the endpoint accepts connections."""
+        return bool(self._servers)
+
+    def begin_mode(self, mode: EndpointMode, probability: float, retry_after_s: float) -> ActiveMode:
+        """Fail in a way until :meth:`end_mode`; of several modes the last one begun applies."""
+        active = ActiveMode(mode, probability, retry_after_s)
+        self._modes.append(active)
+        return active
+
+    def end_mode(self, active: ActiveMode) -> None:
+        """End a mode."""
+        self._modes.remove(active)
+
+    @property
+    def retry_after_s(self) -> float:
+        """Time to wait that a throttled call is told."""
+        return self._modes[-1].retry_after_s if self._modes else 0.5
+
+    def draw_mode(self) -> EndpointMode:
+        """Return how to treat the next call."""
+        if self._modes and self._rng.random() < self._modes[-1].probability:
+            return self._modes[-1].mode
+        return EndpointMode.SERVE
+
     def crash(self) -> None:
-        """Close the listeners and reset all open connections."""
+        """Close the listeners and reset all open connections until :meth:`recover`."""
+        self._outages += 1
+        self._close_connections()
+
+    def _close_connections(self) -> None:
         for server in self._servers.values():
             server.close()
         self._servers.clear()
@@ -111,7 +156,11 @@
             connection.reset()
 
     def become_unreachable(self) -> None:
-        """Become unreachable: connects time out, and open connections transfer nothing."""
+        """Become unreachable until :meth:`recover`: connects time out, open connections transfer nothing."""
+        self._outages += 1
+        for condition in self.links.values():
+            condition.add(_SILENCE)
+        self._silences += 1
         for forwarder, server in self._servers.items():
             server.close()
             listener = socket.create_server((self.host, self.ports[forwarder]), backlog=0)
@@ -122,17 +171,19 @@
                 filler.connect_ex((self.host, self.ports[forwarder]))
                 self._backlog_sockets.append(filler)
         self._servers.clear()
-        for condition in self.links.values():
-            condition.is_silent = True
 
     async def recover(self) -> None:
-        """Listen again on all ports and serve calls normally."""
-        self.mode, self.mode_probability = EndpointMode.SERVE, 1.0
+        """End one crash or network failure; after the last one, listen again on all ports."""
+        self._outages -= 1
+        if self._outages:
+            return
         for blocked_socket in self._backlog_sockets:
             blocked_socket.close()
         self._backlog_sockets.clear()
         for condition in self.links.values():
-            condition.is_silent = False
+            for _ in range(self._silences):
+                condition.remove(_SILENCE)
+        self._silences = 0
         for forwarder in self.links:
             if forwarder not in self._servers:
                 await self.listen(forwarder)
@@ -147,7 +198,7 @@
 
     def on_call(self, connection: _EndpointConnection, call: HttpMessage) -> None:
         """Process a complete call and answer it after a random latency."""
-        mode = self.mode if self._rng.random() < self.mode_probability else EndpointMode.SERVE
+        mode = self.draw_mode()
         if self.active_calls >= MAX_ACTIVE_CALLS:
             mode = EndpointMode.OVERLOADED
         self.active_calls += 1
@@ -207,6 +258,6 @@
 
     def close(self) -> None:
         """Close all listeners and connections."""
-        self.crash()
+        self._close_connections()
         for blocked_socket in self._backlog_sockets:
             blocked_socket.close()
--- a/honeybarrow/soak/link.py
+++ b/honeybarrow/soak/link.py
@@ -12,7 +12,7 @@
 import struct
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 SILENT_POLL_INTERVAL_S = 0.02  # between checks whether a silent link has recovered
@@ -20,9 +20,9 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-@dataclass(slots=True)
-class LinkCondition:
-    """Current impairments of a link, shared by all its connections; may change while they are open."""
+@dataclass(frozen=True, slots=True)
+class Impairment:
+    """What one fault does to a link."""
 
     delay_s: float = 0.0
     is_silent: bool = False  # no bytes pass in either direction
@@ -31,6 +31,56 @@
     half_close_probability: float = 0.0  # that the sender half-closes after a response
 
 
+class LinkCondition:
+    """Current impairments of a link, shared by all its connections; may change while they are open."""
+
+    def __init__(self) -> None:
+        self._impairments: list[Impairment] = []
+
+    @contextlib.contextmanager
+    def impaired(self, impairment: Impairment) -> Iterator[None]:
+        """Apply an impairment in a ``with`` block; impairments of other faults stay in force."""
+        self.add(impairment)
+        try:
+            yield
+        finally:
+            self.remove(impairment)
+
+    def add(self, impairment: Impairment) -> None:
+        """Apply an impairment until :meth:`remove`."""
+        self._impairments.append(impairment)
+
+    def remove(self, impairment: Impairment) -> None:
+        """End an impairment."""
+        self._impairments.remove(impairment)
+
+    @property
+    def delay_s(self) -> float:
+        """Longest delay of any impairment."""
+        return max((each.delay_s for each in self._impairments), default=0.0)
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether no bytes pass."""
+        return any(each.is_silent for each in self._impairments)
+
+    @property
+    def trickle_chunk_bytes(self) -> int:
+        """Smallest chunk of any impairment; 0 if none trickles."""
+        sizes = [each.trickle_chunk_bytes for each in self._impairments if each.trickle_chunk_bytes]
+        return min(sizes, default=0)
+
+    @property
+    def reset_probability(self) -> float:
+        """Highest probability of a reset."""
+        return max((each.reset_probability for each in self._impairments), default=0.0)
+
+    @property
+    def half_close_probability(self) -> float:
+        """Highest probability of a half-close."""
+        return max((each.half_close_probability for each in self._impairments), default=0.0)
+
+
 @dataclass(slots=True)
 class _OutgoingData:
     data: bytes
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -21,7 +21,7 @@
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
 from honeybarrow.soak.forwarder_process import ForwarderUnderTest, free_ports
 from honeybarrow.soak.history import EventKind, History
-from honeybarrow.soak.link import LinkCondition
+from honeybarrow.soak.link import Impairment, LinkCondition
 from honeybarrow.soak.plan import Fault, FaultKind, SoakSpec, draw_faults
 from honeybarrow.soak.rules import RuleChecker, SoakRule, SoakViolation
 
@@ -280,10 +280,9 @@
 
     async def _set_mode(self, fault: Fault) -> None:
         endpoint = self.endpoints[fault.target]
-        endpoint.mode, endpoint.mode_probability = EndpointMode(fault.detail), fault.probability
-        endpoint.retry_after_s = fault.amount
+        active = endpoint.begin_mode(EndpointMode(fault.detail), fault.probability, fault.amount)
         await asyncio.sleep(fault.duration_s)
-        endpoint.mode, endpoint.mode_probability = EndpointMode.SERVE, 1.0
+        endpoint.end_mode(active)
 
     async def _crash_endpoint(self, fault: Fault) -> None:
         endpoint = self.endpoints[fault.target]
@@ -321,11 +320,12 @@
         await self._impair(fault, [self.discovery.links[fault.target]])
 
     async def _impair(self, fault: Fault, links: Sequence[LinkCondition]) -> None:
-        _apply_impairment(links, fault)
+        impairment = _make_impairment(fault)
+        for link in links:
+            link.add(impairment)
         await asyncio.sleep(fault.duration_s)
         for link in links:
-            link.delay_s, link.is_silent, link.trickle_chunk_bytes = 0.0, False, 0
-            link.reset_probability = link.half_close_probability = 0.0
+            link.remove(impairment)
 
     async def _stop_discovery(self, fault: Fault) -> None:
         self.discovery.go_down()
@@ -413,19 +413,19 @@
 )  # fmt: skip
 
 
-def _apply_impairment(links: Sequence[LinkCondition], fault: Fault) -> None:
-    for link in links:
-        match fault.detail:
-            case "delay":
-                link.delay_s = fault.amount
-            case "silent":
-                link.is_silent = True
-            case "trickle":
-                link.trickle_chunk_bytes = int(fault.amount)
-            case "reset":
-                link.reset_probability = fault.probability
-            case "half_close":
-                link.half_close_probability = fault.probability
+def _make_impairment(fault: Fault) -> Impairment:
+    match fault.detail:
+        case "delay":
+            return Impairment(delay_s=fault.amount)
+        case "silent":
+            return Impairment(is_silent=True)
+        case "trickle":
+            return Impairment(trickle_chunk_bytes=int(fault.amount))
+        case "reset":
+            return Impairment(reset_probability=fault.probability)
+        case "half_close":
+            return Impairment(half_close_probability=fault.probability)
+    raise ValueError(f"unknown impairment {fault.detail!r}")
 
 
 def _count_messages(checker: RuleChecker) -> Counter[str]:
