--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -75,6 +75,12 @@
         while self._undelivered and self._undelivered[0].last_byte_s <= arrived_s:
             self.endpoint.on_call(self, self._undelivered.popleft())
 
+    def on_copied(self, data: bytes) -> None:
+        """Record a copied response with the message whose call is open."""
+        message = self.open_call.fields.get("x-correlation-id", "") if self.open_call else ""
+        status = data.split(b" ", 2)[1].decode("latin-1")
+        self.endpoint.history.add(EventKind.COPIED, self.forwarder, message, self.endpoint.name, status)
+
     def on_connection_lost(self) -> None:
         """Record the open call as closed by the forwarder."""
         self.endpoint.connections.pop(self, None)
--- a/honeybarrow/soak/history.py
+++ b/honeybarrow/soak/history.py
@@ -17,6 +17,7 @@
     CALL = "call"  # endpoint received a complete call; amount: arrival time of its first byte
     CALL_ANSWERED = "call_answered"  # endpoint sent a response; detail: status; amount: wait of a 429
     CALL_CLOSED = "call_closed"  # call ended without a response; detail: "forwarder" or "endpoint" closed
+    COPIED = "copied"  # endpoint's link repeated a response while the message's call was open; detail: status
     NOTIFIED = "notified"  # platform received a notification; detail: outcome
     LISTED = "listed"  # discovery sent an endpoint's state to a forwarder; detail: state
     PROCESS = "process"  # signal to a forwarder's process, or change of its state; detail: which
--- a/honeybarrow/soak/link.py
+++ b/honeybarrow/soak/link.py
@@ -1,4 +1,4 @@
-"""Network impairment between a forwarder and a stand-in: delays, stalls, slow sending and resets.
+"""Network impairment between a forwarder and a stand-in: delays, stalls, slow sending, resets and copies.
 
 All connections of the stand-ins are subclasses of :class:`LinkConnection`. Recorded times are those at the
 operating system's socket: when it returned received data, and when it accepted data to send.
@@ -8,15 +8,19 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import struct
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from honeybarrow.soak.copies import CopyFault, CopyForm, CopyTiming, draw_cut
 
 SILENT_POLL_INTERVAL_S = 0.02  # between checks whether a silent link has recovered
 TRICKLE_INTERVAL_S = 0.005
+COPY_PART_INTERVAL_S = 0.002  # between the two parts of a copy
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -29,6 +33,7 @@
     trickle_chunk_bytes: int = 0  # bytes per TRICKLE_INTERVAL_S; 0: unlimited
     reset_probability: float = 0.0  # that a connection is reset instead of a response
     half_close_probability: float = 0.0  # that the sender half-closes after a response
+    copies: CopyFault | None = None
 
 
 class LinkCondition:
@@ -36,6 +41,7 @@
 
     def __init__(self) -> None:
         self._impairments: list[Impairment] = []
+        self.rng = random.Random(0)
 
     @contextlib.contextmanager
     def impaired(self, impairment: Impairment) -> Iterator[None]:
@@ -80,6 +86,11 @@
         """Highest probability of a half-close."""
         return max((each.half_close_probability for each in self._impairments), default=0.0)
 
+    def draw_copies(self) -> list[CopyFault]:
+        """Return the copies to make of the next data."""
+        faults = [each.copies for each in self._impairments if each.copies is not None]
+        return [each for each in faults if self.rng.random() < each.probability]
+
 
 @dataclass(slots=True)
 class _OutgoingData:
@@ -99,6 +110,8 @@
         self._incoming: deque[tuple[bytes, float]] = deque()
         self._outgoing: deque[_OutgoingData] = deque()
         self._is_delivery_scheduled = self._is_flush_scheduled = False
+        self._copies_after_request: list[tuple[CopyFault, bytes]] = []
+        self._rest_of_copy = b""
 
     # interface of subclasses
 
@@ -111,6 +124,9 @@
     def on_connection_lost(self) -> None:
         """Handle the loss of the connection."""
 
+    def on_copied(self, data: bytes) -> None:
+        """Handle that a copy of data has been written to the socket."""
+
     def send(self, data: bytes, on_written: Callable[[float], object] | None = None) -> None:
         """Send data under the link's impairments.
 
@@ -152,6 +168,9 @@
     def data_received(self, data: bytes) -> None:
         """Queue received bytes for delivery by the link."""
         arrived_s = time.monotonic()
+        copies, self._copies_after_request = self._copies_after_request, []
+        for fault, copied in copies:
+            self._loop.call_later(fault.delay_s, self._write_copy, fault, copied)
         self.on_data_received(data, arrived_s)
         self._incoming.append((data, arrived_s))
         if not self._is_delivery_scheduled:
@@ -182,6 +201,8 @@
             head = self._outgoing[0]
             wait_s = self._remaining_delay_s(head.due_s)
             size = self.condition.trickle_chunk_bytes
+            if self._rest_of_copy:
+                wait_s = max(wait_s, COPY_PART_INTERVAL_S)
             if wait_s <= 0 and size and len(head.data) > size:
                 self.transport.write(head.data[:size])
                 head.data = head.data[size:]
@@ -194,6 +215,36 @@
             self.transport.write(head.data)
             if head.on_written is not None:
                 head.on_written(time.monotonic())
+            self._schedule_copies(head.data)
+
+    # copies
+
+    def _schedule_copies(self, data: bytes) -> None:
+        for fault in self.condition.draw_copies():
+            if fault.timing is CopyTiming.AFTER_REQUEST:
+                self._copies_after_request.append((fault, data))
+            else:
+                self._loop.call_later(fault.delay_s, self._write_copy, fault, data)
+
+    def _write_copy(self, fault: CopyFault, data: bytes) -> None:
+        if self.transport is None or self.is_lost or self.transport.is_closing() or self._rest_of_copy:
+            return
+        first_bytes = len(data)
+        if fault.form in (CopyForm.PARTS, CopyForm.CUT):
+            first_bytes = draw_cut(data, self.condition.rng)
+        self.transport.write(data[:first_bytes])
+        self.on_copied(data)
+        if fault.form is CopyForm.PARTS:
+            self._rest_of_copy = data[first_bytes:]
+            self._loop.call_later(COPY_PART_INTERVAL_S, self._write_rest_of_copy)
+        elif fault.form is CopyForm.TWICE:
+            second = replace(fault, form=CopyForm.WHOLE)
+            self._loop.call_later(fault.delay_s, self._write_copy, second, data)
+
+    def _write_rest_of_copy(self) -> None:
+        rest, self._rest_of_copy = self._rest_of_copy, b""
+        if self.transport is not None and not self.is_lost:
+            self.transport.write(rest)
 
     def _remaining_delay_s(self, due_s: float) -> float:
         if self.condition.is_silent:
--- a/honeybarrow/soak/plan.py
+++ b/honeybarrow/soak/plan.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from honeybarrow.soak.copies import COPY_DELAYS_S, CopyForm, CopyTiming
 from honeybarrow.soak.endpoints import EndpointMode
 from honeybarrow.soak.fault_shim import SystemCall
 
@@ -35,6 +36,7 @@
     DISCOVERY_DOWN = "discovery_down"  # watches are reset and refused
     DISCOVERY_LINK = "discovery_link"
     REPLACE = "replace"  # an endpoint is drained and removed, and another one added
+    COPY = "copy"  # copies of what the endpoints of a destination, or the platform, send to a forwarder
     CROWD = "crowd"  # more idle client connections than the forwarder has descriptors
 
 
@@ -104,6 +106,7 @@
     FaultKind.FOLDER: 2.0,
     FaultKind.ENDPOINT_MODE: 3.0,
     FaultKind.LINK: 2.0,
+    FaultKind.COPY: 3.0,
     FaultKind.PAUSE: 1.5,
     FaultKind.CROWD: 0.3,
     FaultKind.OUTAGE: 0.2,
@@ -113,6 +116,7 @@
 
 
 _LINK_KINDS = (FaultKind.LINK, FaultKind.CLIENT_LINK, FaultKind.DISCOVERY_LINK)
+COPIED_LINKS = ("endpoints", "endpoints", "platform")  # what a copy fault applies to, by frequency
 _ENDPOINT_KINDS = (
     FaultKind.ENDPOINT_MODE, FaultKind.ENDPOINT_CRASH, FaultKind.ENDPOINT_VANISH, FaultKind.REPLACE,
 )  # fmt: skip
@@ -142,6 +146,8 @@
             return Fault(kind, start_s, rng.uniform(3.0, 7.0), destination)
         case FaultKind.DISCOVERY_DOWN:
             return Fault(kind, start_s, rng.uniform(1.0, 6.0))
+        case FaultKind.COPY:
+            return draw_copy_fault(start_s, forwarder, rng)
         case FaultKind.CROWD:
             return Fault(kind, start_s, rng.uniform(1.0, 4.0), forwarder, spec.descriptors * 1.2)
     return _draw_process_fault(kind, start_s, forwarder, rng)
@@ -178,6 +184,16 @@
     return Fault(kind, start_s, rng.uniform(1.0, 6.0), endpoint)
 
 
+def draw_copy_fault(start_s: float, forwarder: str, rng: random.Random) -> Fault:
+    """Return a fault that copies what one of a forwarder's links carries."""
+    forms = (CopyForm.WHOLE, CopyForm.WHOLE, CopyForm.WHOLE, CopyForm.TWICE, CopyForm.PARTS, CopyForm.CUT)
+    detail = f"{rng.choice(COPIED_LINKS)} {rng.choice(forms)} {rng.choice(tuple(CopyTiming))}"
+    duration_s, probability = rng.uniform(1.0, 6.0), rng.choice((0.2, 0.5, 1.0))
+    return Fault(
+        FaultKind.COPY, start_s, duration_s, forwarder, rng.choice(COPY_DELAYS_S), probability, detail
+    )
+
+
 def _draw_link_fault(kind: FaultKind, start_s: float, forwarder: str, rng: random.Random) -> Fault:
     impairment = rng.choice(("delay", "silent", "trickle", "reset", "half_close"))
     duration_s = rng.uniform(0.3, 4.0)
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -16,6 +16,7 @@
 
 from honeybarrow.soak import settings
 from honeybarrow.soak.clients import ClientPool, ConnectionFlood
+from honeybarrow.soak.copies import CopyFault, CopyForm, CopyTiming
 from honeybarrow.soak.discovery import StandInDiscovery
 from honeybarrow.soak.endpoints import EndpointMode, StandInEndpoint
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
@@ -212,6 +213,7 @@
             FaultKind.ENDPOINT_VANISH: self._make_endpoint_unreachable,
             FaultKind.OUTAGE: self._fail_destination,
             FaultKind.LINK: self._impair_endpoint_links,
+            FaultKind.COPY: self._copy_data,
             FaultKind.CLIENT_LINK: self._impair_client_link,
             FaultKind.DISCOVERY_DOWN: self._stop_discovery,
             FaultKind.DISCOVERY_LINK: self._impair_discovery_link,
@@ -305,13 +307,22 @@
             await endpoint.recover()
 
     async def _impair_endpoint_links(self, fault: Fault) -> None:
+        await self._impair(fault, self._links_to_a_destination(fault.target))
+
+    def _links_to_a_destination(self, forwarder: str) -> list[LinkCondition]:
         destination = self.rng.randrange(1, self.spec.destinations + 1)
-        links = [
-            endpoint.links[fault.target]
+        return [
+            endpoint.links[forwarder]
             for endpoint in self.endpoints.values()
             if endpoint.destination == destination
         ]
-        await self._impair(fault, links)
+
+    async def _copy_data(self, fault: Fault) -> None:
+        link_name, _, _ = fault.detail.split()
+        if link_name == "platform":
+            await self._impair(fault, [self.discovery.links[fault.target]])
+        else:
+            await self._impair(fault, self._links_to_a_destination(fault.target))
 
     async def _impair_client_link(self, fault: Fault) -> None:
         await self._impair(fault, [self.clients[fault.target].condition])
@@ -425,6 +436,10 @@
             return Impairment(reset_probability=fault.probability)
         case "half_close":
             return Impairment(half_close_probability=fault.probability)
+    if fault.kind is FaultKind.COPY:
+        _, form, timing = fault.detail.split()
+        copies = CopyFault(fault.probability, fault.amount, CopyForm(form), CopyTiming(timing))
+        return Impairment(copies=copies)
     raise ValueError(f"unknown impairment {fault.detail!r}")
 
 
