A response on a reused connection ends its call only until a surplus response refutes it

Cause: HttpConnection paired responses by order alone; a copy behind the next request was that call's response, the true one the next call's, and what then came with no call out was thrown away unread. Only the first response on a connection is certain. Non-idempotent, ordered and ambiguous messages get a connection that has carried nothing (MessageGuard.may_reuse_connection). Any other delivery or 'not run' read on a reused connection is unconfirmed: the log keeps its attempt open, and it is confirmed by silence of 1 s or twice the longest recent response time; a surplus response, or the end of the connection before, refutes it. A refuted delivery is resumed like a message of an earlier process, or notified; a refuted 'not run' is ambiguous from its start for guard, policy and log. A failure on a reused connection is not repeated until a true response would have come. A surplus 429 still makes its destination wait. A 200 that is cut off counts on a first response only. Why it works: a copy makes more responses than requests, and the surplus comes while the outcome can still be put right. The stand-in endpoint serves the calls of a connection in order, as a server does; it used to drop one when the next came.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -12,6 +12,7 @@
 from honeybarrow.delivery.outcome import AttemptOutcome
 from honeybarrow.delivery.results import DeliveryResult
 from honeybarrow.delivery.submission import DeliveryContext, Submission
+from honeybarrow.delivery.unconfirmed import UnconfirmedOutcome, UnconfirmedOutcomes
 from honeybarrow.events import AttemptFinished, AttemptStatus
 from honeybarrow.message_guard import Refusal
 from honeybarrow.message_state import MessageState
@@ -33,9 +34,19 @@
     time_in_calls_us: int = 0  # total duration of its finished attempts
     is_completed: bool = False
     is_withdrawn: bool = False  # the client has disconnected and no longer expects the result
-    is_ambiguous: bool = False  # a finished attempt may have been executed by the partner
+    ambiguous_since_us: int | None = None  # start of the first finished attempt that may have run
     last_outcome: AttemptOutcome | None = None
 
+    @property
+    def is_ambiguous(self) -> bool:
+        """Whether a finished attempt may have been executed by the partner."""
+        return self.ambiguous_since_us is not None
+
+    def record_ambiguous(self, started_us: int) -> None:
+        """Record that an attempt that started at ``started_us`` may have run."""
+        since_us = self.ambiguous_since_us
+        self.ambiguous_since_us = started_us if since_us is None else min(since_us, started_us)
+
     @property
     def state(self) -> MessageState:
         """State of the message as shown in log lines."""
@@ -66,6 +77,10 @@
         """Return the microseconds left to write the last byte of the attempt; negative if it is too late."""
         return self.deadline_us - self.context.now_us()
 
+    def may_reuse_connection(self) -> bool:
+        """Return whether the attempt may use a connection that has carried a call before."""
+        return self.context.guard.may_reuse_connection(self.message.submission.message) is None
+
     def refusal_reason(self) -> str:
         """Return why the attempt must not be written now, or an empty string if it may be."""
         if self.message.is_completed:
@@ -108,8 +123,9 @@
         self,
         context: DeliveryContext,
         on_finished: Callable[[InFlightMessage, AttemptOutcome, AttemptFinished], None],
+        unconfirmed: UnconfirmedOutcomes,
     ) -> None:
-        self.context, self.on_finished = context, on_finished
+        self.context, self.on_finished, self._unconfirmed = context, on_finished, unconfirmed
         self.calls_in_flight = 0
 
     def start(self, message: InFlightMessage, action: SendAttempt, decided_us: int, is_logged: bool) -> None:
@@ -186,7 +202,8 @@
         state_before = message.state
         message.attempts_in_flight -= 1
         message.last_outcome = outcome
-        message.is_ambiguous |= outcome.status is not AttemptStatus.OK and not outcome.not_run
+        if outcome.status is not AttemptStatus.OK and not outcome.not_run:
+            message.record_ambiguous(started_us)
         status = outcome.status.value
         elapsed_us = max(0, context.now_us() - started_us)
         message.time_in_calls_us += elapsed_us
@@ -212,9 +229,22 @@
         )
         completes = outcome.status is AttemptStatus.OK or outcome.is_completed
         now_us, needs_key_cooldown = context.now_us(), outcome.status in KEY_COOLDOWN_STATUSES
-        context.guard.on_attempt_finished(message_id, now_us, outcome.not_run, completes, needs_key_cooldown)
+        is_unconfirmed = outcome.verdict is not None
+        context.guard.on_attempt_finished(
+            message_id,
+            now_us,
+            outcome.not_run,
+            completes,
+            needs_key_cooldown,
+            attempt if is_unconfirmed else None,
+        )
         context.guard.on_retry_after(target, now_us, outcome.retry_after_us)
-        context.message_log.record_attempt_finished(message_id, attempt, outcome.status, outcome.not_run)
+        if is_unconfirmed:
+            ends_message = completes and not message.is_completed
+            unconfirmed = UnconfirmedOutcome(message, attempt, target, started_us, outcome, ends_message)
+            self._unconfirmed.add(unconfirmed)
+        else:
+            context.message_log.record_attempt_finished(message_id, attempt, outcome.status, outcome.not_run)
         event = AttemptFinished(
             message_id,
             attempt,
@@ -226,5 +256,6 @@
             outcome.no_slot_free,
             outcome.load_report,
             outcome.not_run,
+            outcome.retry_hold_us,
         )
         self.on_finished(message, outcome, event)
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -38,6 +38,7 @@
     make_returned_result,
 )
 from honeybarrow.delivery.submission import DeliveryContext, Submission, Transport
+from honeybarrow.delivery.unconfirmed import UnconfirmedOutcomes
 from honeybarrow.errors import InvalidValueError
 from honeybarrow.events import (
     AttemptFinished,
@@ -46,9 +47,10 @@
     MembershipUpdate,
     MessageArrived,
     MessageExpired,
+    RetryAfterReceived,
     TimerFired,
 )
-from honeybarrow.message_guard import MessageGuard, Refusal, Result, Violation
+from honeybarrow.message_guard import MessageGuard, Refusal, Result, Violation, may_resume
 from honeybarrow.policy.sender import Sender
 from honeybarrow.ports import (
     CallObserver,
@@ -121,7 +123,12 @@
             get_shutdown_age_us,
         )
         self.counters, self.rng = self.context.counters, random.Random(seed)
-        self._attempts = AttemptRunner(self.context, self._on_attempt_finished)
+        self.unconfirmed = UnconfirmedOutcomes(self.context, self._queue_event, self._resume_later)
+        self._attempts = AttemptRunner(self.context, self._on_attempt_finished, self.unconfirmed)
+        # Called with a message whose delivery was refuted and that can't be sent again.
+        self.on_refuted_delivery: Callable[[str], None] = _do_nothing
+        # Called with a message that is sent again after its delivery was refuted, and with its result.
+        self.on_redelivered: Callable[[str, DeliveryResult], None] = _do_nothing
         self._pending_events: list[Event] = []
         self._arrived_this_turn: list[InFlightMessage] = []
         self._is_turn_logged = True  # whether the log records of this turn have been written
@@ -159,7 +166,8 @@
             result.callback(Refused(wait_us, "no room"))
             return result
         message = InFlightMessage(submission, result, self.now_us(), submission.attempts)
-        message.is_ambiguous = submission.ambiguous_age_us is not None
+        if submission.ambiguous_age_us is not None:
+            message.record_ambiguous(message.submitted_us - submission.ambiguous_age_us)
         self._messages[message_id] = message
         self._register_with_guard(submission, message.submitted_us)
         self._arrived_this_turn.append(message)
@@ -199,6 +207,11 @@
         """Return whether a message of this id is open or still has an attempt in flight."""
         return message in self._messages
 
+    def on_retry_after(self, target: str, retry_after_us: int) -> None:
+        """Apply a Retry-After that came in a response that can't be assigned to an attempt."""
+        self.guard.on_retry_after(target, self.now_us(), retry_after_us)
+        self._queue_event(RetryAfterReceived(target, retry_after_us))
+
     def apply_membership_update(self, update: MembershipUpdate) -> None:
         """Apply a change of the endpoint list to the guard and the policy."""
         self.guard.on_endpoint_list(update)
@@ -335,13 +348,40 @@
     ) -> None:
         self._queue_event(event)
         if event.is_completed and not message.is_completed:
-            self.context.message_log.record_completed(event.message)
+            if outcome.verdict is None:
+                self.context.message_log.record_completed(event.message)
             self._complete(message, Delivered(outcome.reply))
         elif message.is_completed:
             self._schedule_removal(message)
             if message.is_withdrawn and message.attempts_in_flight == 0:
                 self.on_last_attempt_finished(event.message, outcome, message.is_ambiguous)
 
+    def _resume_later(self, message: InFlightMessage, started_us: int) -> None:
+        """Resume a message after its delivery was refuted, once the turn that completed it is over."""
+        self.context.clock.callLater(0, self._resume, message, started_us)
+
+    def _resume(self, message: InFlightMessage, started_us: int) -> None:
+        submission, now_us = message.submission, self.now_us()
+        if submission.message in self._messages:
+            self._resume_later(message, started_us)
+            return
+        message.record_ambiguous(started_us)
+        left_us = message.time_left_us(now_us)
+        message_class = self.sender.classes[submission.class_name]
+        if may_resume(message_class, left_us, has_ambiguous_attempt=True, is_time_certain=True) is not None:
+            self.on_refuted_delivery(submission.message)
+            return
+        resumed = replace(
+            submission,
+            time_left_us=left_us,
+            on_accepted=_do_nothing,
+            is_resumed=True,
+            attempts=message.attempts,
+            ambiguous_age_us=now_us - (message.ambiguous_since_us or started_us),
+        )
+        result = self.submit(resumed)
+        result.addCallback(lambda final: self.on_redelivered(submission.message, final))
+
     def _complete(self, message: InFlightMessage, result: DeliveryResult) -> None:
         """Deliver the final result of a message. All results pass through this method."""
         if message.is_completed:
--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 
+from twisted.internet.defer import Deferred
+
 from honeybarrow.events import AttemptStatus
 from honeybarrow.mail import Phase, Reply
 
@@ -20,6 +23,13 @@
     requests: int
 
 
+class Verdict(enum.Enum):
+    """What becomes of an outcome that was read from a response of uncertain origin."""
+
+    CONFIRMED = "confirmed"
+    REFUTED = "refuted"  # the response may belong to another request
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
     """The outcome of one attempt.
@@ -27,7 +37,9 @@
     ``reply`` is the partner's reply, if there was one. ``not_run`` is set if the message was certainly not
     executed. ``is_completed`` is set if the partner reports that the message has already been completed.
     ``no_slot_free`` is set if the attempt was not sent because this forwarder has no call slot free, by its
-    own count or by the partner's. ``connection`` is for logs only.
+    own count or by the partner's. ``retry_hold_us`` is the time before which the message must not be sent
+    again, because the attempt may still be out. ``connection`` is for logs only. ``verdict`` is set if the
+    outcome is unconfirmed; it fires once.
     """
 
     status: AttemptStatus
@@ -38,7 +50,9 @@
     reason: str = ""
     is_completed: bool = False
     no_slot_free: bool = False
+    retry_hold_us: int = 0
     connection: ConnectionUse | None = field(default=None, compare=False, repr=False)
+    verdict: Deferred[Verdict] | None = field(default=None, compare=False, repr=False)
 
 
 def classify_reply(reply: Reply, phase: Phase) -> AttemptOutcome:
--- /dev/null
+++ b/honeybarrow/delivery/unconfirmed.py
@@ -0,0 +1,114 @@
+"""Outcomes that may belong to another request, kept until a verdict confirms or refutes them.
+
+A confirmed outcome is recorded in the message log. After a refuted delivery the message is resumed, like a
+message of an earlier process; after a refuted "not run" the attempt counts as one that may have run. Until
+the verdict the log has the attempt as unfinished, so that after a crash it counts as ambiguous too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from honeybarrow.delivery.outcome import AttemptOutcome, Verdict
+from honeybarrow.delivery.submission import DeliveryContext
+from honeybarrow.events import Event, OutcomeRefuted
+
+if TYPE_CHECKING:
+    from honeybarrow.delivery.attempts import InFlightMessage
+
+
+@dataclass(frozen=True, slots=True)
+class UnconfirmedOutcome:
+    """An outcome without a verdict; ``ends_message`` if the message was completed by it."""
+
+    message: InFlightMessage
+    attempt: int
+    target: str
+    started_us: int
+    outcome: AttemptOutcome
+    ends_message: bool
+
+
+class UnconfirmedOutcomes:
+    """Carries out the verdicts on the outcomes of one forwarder.
+
+    ``queue_event`` passes an event to the policy, and ``resume`` receives the message of a refuted
+    delivery and the start of its attempt.
+    """
+
+    def __init__(
+        self,
+        context: DeliveryContext,
+        queue_event: Callable[[Event], None],
+        resume: Callable[[InFlightMessage, int], None],
+    ) -> None:
+        self._context, self._queue_event, self._resume = context, queue_event, resume
+        self.count = 0  # outcomes without a verdict
+        self.refuted_count = 0
+        self._is_commit_scheduled = False
+
+    def add(self, unconfirmed: UnconfirmedOutcome) -> None:
+        """Wait for the verdict on an outcome."""
+        verdict = unconfirmed.outcome.verdict
+        if verdict is None:
+            return
+        self.count += 1
+        verdict.addCallback(self._on_verdict, unconfirmed)
+        verdict.addErrback(lambda failure: self._context.log.error("verdict_failed", error=str(failure)))
+
+    def _on_verdict(self, verdict: Verdict, unconfirmed: UnconfirmedOutcome) -> None:
+        self.count -= 1
+        if verdict is Verdict.CONFIRMED:
+            self._record_confirmed(unconfirmed)
+        elif unconfirmed.ends_message:
+            self._log_refuted(unconfirmed, "resumed")
+            self._resume(unconfirmed.message, unconfirmed.started_us)
+        else:
+            self._log_refuted(unconfirmed, "ambiguous")
+            self._record_as_ambiguous(unconfirmed)
+        self._schedule_commit()
+
+    def _record_confirmed(self, unconfirmed: UnconfirmedOutcome) -> None:
+        context, message_id = self._context, unconfirmed.message.submission.message
+        if unconfirmed.ends_message:
+            context.message_log.record_completed(message_id)
+            return
+        context.guard.on_outcome_confirmed(message_id, unconfirmed.attempt)
+        outcome = unconfirmed.outcome
+        context.message_log.record_attempt_finished(
+            message_id, unconfirmed.attempt, outcome.status, outcome.not_run
+        )
+
+    def _record_as_ambiguous(self, unconfirmed: UnconfirmedOutcome) -> None:
+        context, message_id = self._context, unconfirmed.message.submission.message
+        unconfirmed.message.record_ambiguous(unconfirmed.started_us)
+        context.guard.on_outcome_refuted(message_id, unconfirmed.attempt)
+        context.message_log.record_attempt_finished(
+            message_id, unconfirmed.attempt, unconfirmed.outcome.status, not_run=False
+        )
+        self._queue_event(OutcomeRefuted(message_id, context.now_us() - unconfirmed.started_us))
+
+    def _log_refuted(self, unconfirmed: UnconfirmedOutcome, decision: str) -> None:
+        self.refuted_count += 1
+        message = unconfirmed.message
+        self._context.log.warning(
+            "outcome_refuted",
+            message=message.submission.message,
+            attempt=unconfirmed.attempt,
+            target=unconfirmed.target,
+            status=unconfirmed.outcome.status.value,
+            decision=decision,
+            time_left_us=message.time_left_us(self._context.now_us()),
+        )
+
+    def _schedule_commit(self) -> None:
+        """Write the records of all verdicts of this reactor iteration together."""
+        if not self._is_commit_scheduled:
+            self._is_commit_scheduled = True
+            self._context.clock.callLater(0, self._commit)
+
+    def _commit(self) -> None:
+        self._is_commit_scheduled = False
+        self._context.message_log.commit()
--- a/honeybarrow/events.py
+++ b/honeybarrow/events.py
@@ -82,6 +82,7 @@
     ``is_completed`` means that the message has its final result. ``not_run`` means that the attempt provably
     had no effect whatever its status, for example because the connection was lost before the end of the
     message was written. The statuses ``FULL``, ``CONNECT_FAILED``, ``NOT_SENT`` and ``REJECTED`` imply it.
+    Until ``retry_hold_us`` have passed the attempt may still be out, so the message must not be sent again.
     """
 
     message: str
@@ -94,6 +95,23 @@
     no_slot_free: bool = False
     load_report: tuple[float, ...] = ()
     not_run: bool = False
+    retry_hold_us: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class OutcomeRefuted:
+    """An attempt that was reported as not run may have run; it started ``age_us`` ago."""
+
+    message: str
+    age_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class RetryAfterReceived:
+    """An endpoint has told to wait, in a response that can't be assigned to an attempt."""
+
+    target: str
+    retry_after_us: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,6 +178,8 @@
 Event = (
     MessageArrived
     | AttemptFinished
+    | OutcomeRefuted
+    | RetryAfterReceived
     | AttemptStreaming
     | MessageExpired
     | TimerFired
--- a/honeybarrow/message_guard.py
+++ b/honeybarrow/message_guard.py
@@ -63,6 +63,8 @@
     NEVER_STARTED = "an attempt of it may have run that was never allowed to start"
     REQUEST_OPEN = "a request on the connection has no answer"
     CLOCK_UNCERTAIN = "how long ago an attempt was is not known"
+    UNCONFIRMED = "an outcome of it may belong to another request"
+    NEEDS_NEW_CONNECTION = "a response on a reused connection may belong to another request"
 
 
 _UNKNOWN_START_US = -(1 << 62)  # start time of an attempt that was never reported as started
@@ -89,12 +91,14 @@
     Refusal.NEVER_STARTED: Rule.DUPLICATE,
     Refusal.REQUEST_OPEN: Rule.LOST,
     Refusal.CLOCK_UNCERTAIN: Rule.DUPLICATE,
+    Refusal.UNCONFIRMED: Rule.DUPLICATE,
+    Refusal.NEEDS_NEW_CONNECTION: Rule.DUPLICATE,
 }
 # Conditions that can change between the decision to forward and an established connection.
 _EXPECTED_AT_FORWARD = frozenset(
     (
         Refusal.ENDED, Refusal.EXPIRED, Refusal.KEY_WINDOW_OVER, Refusal.DRAINING, Refusal.WAITING,
-        Refusal.SHUTTING_DOWN, Refusal.BEHIND_ENDING, Refusal.ORDER_KEY_COOLDOWN,
+        Refusal.SHUTTING_DOWN, Refusal.BEHIND_ENDING, Refusal.ORDER_KEY_COOLDOWN, Refusal.UNCONFIRMED,
     )
 )  # fmt: skip
 
@@ -136,6 +140,7 @@
     attempt_zone: str = ""
     ambiguous_since_us: int | None = None  # start of the first ambiguous attempt
     ambiguous_zone: str = ""
+    unconfirmed_us: dict[int, int] | None = None  # start by attempt, where "not run" is unconfirmed
     is_delivered: bool = False
     is_result_recorded: bool = False
     awaits_notification: bool = False
@@ -218,11 +223,18 @@
             tracked.is_recorded = True
 
     def on_attempt_finished(
-        self, message: str, now_us: int, not_run: bool, is_done: bool, starts_key_cooldown: bool
+        self,
+        message: str,
+        now_us: int,
+        not_run: bool,
+        is_done: bool,
+        starts_key_cooldown: bool,
+        unconfirmed_attempt: int | None = None,
     ) -> None:
         """Record the end of an attempt.
 
-        ``starts_key_cooldown`` is true after a timeout, a reset or a cancellation.
+        ``starts_key_cooldown`` is true after a timeout, a reset or a cancellation. ``unconfirmed_attempt`` is
+        the number of the attempt if its outcome may belong to another request.
         """
         tracked = self._messages.get(message)
         if tracked is None:
@@ -233,6 +245,8 @@
                 tracked.ambiguous_since_us, tracked.state = _UNKNOWN_START_US, MessageState.AMBIGUOUS
                 self._report(Refusal.NEVER_STARTED, "finish", message)
             return
+        if unconfirmed_attempt is not None:
+            self._track_unconfirmed(message, tracked, unconfirmed_attempt)
         if not not_run and tracked.ambiguous_since_us is None:
             tracked.ambiguous_since_us, tracked.ambiguous_zone = (
                 tracked.attempt_started_us,
@@ -247,6 +261,29 @@
             cooldowns[tracked.order_key] = now_us + self._order_key_cooldown_us
             self._order_key_cooldown_until_us = cooldowns
 
+    def _track_unconfirmed(self, message: str, tracked: _TrackedMessage, attempt: int) -> None:
+        if _needs_certain_responses(tracked):
+            tracked.ambiguous_since_us = tracked.attempt_started_us
+            self._report(Refusal.NEEDS_NEW_CONNECTION, "finish", message)
+        tracked.unconfirmed_us = {**(tracked.unconfirmed_us or {}), attempt: tracked.attempt_started_us}
+
+    def on_outcome_confirmed(self, message: str, attempt: int) -> None:
+        """Record that an unconfirmed outcome belongs to its attempt."""
+        tracked = self._messages.get(message)
+        if tracked is not None and tracked.unconfirmed_us is not None:
+            tracked.unconfirmed_us.pop(attempt, None)
+
+    def on_outcome_refuted(self, message: str, attempt: int) -> None:
+        """Record that an unconfirmed outcome may belong to another request: the attempt may have run."""
+        tracked = self._messages.get(message)
+        started_us = (tracked.unconfirmed_us or {}).pop(attempt, None) if tracked is not None else None
+        if tracked is None or started_us is None:
+            return
+        since_us = tracked.ambiguous_since_us
+        tracked.ambiguous_since_us = started_us if since_us is None else min(since_us, started_us)
+        if tracked.state is MessageState.WAITING:
+            tracked.state = MessageState.AMBIGUOUS
+
     def on_retry_after(self, target: str, now_us: int, retry_after_us: int) -> None:
         """Record a Retry-After that an endpoint has sent."""
         endpoint = self._endpoints.get(target)
@@ -384,8 +421,10 @@
 
     def _refuse_retry(self, tracked: _TrackedMessage, now_us: int, zone: str) -> Refusal | None:
         spec = tracked.message_class
-        if tracked.ambiguous_since_us is None or spec.idempotency is Idempotency.IDEMPOTENT:
+        if spec.idempotency is Idempotency.IDEMPOTENT:
             return None
+        if tracked.ambiguous_since_us is None:
+            return self._refuse_unconfirmed(tracked, now_us)
         if spec.idempotency is Idempotency.NON_IDEMPOTENT:
             return Refusal.MAY_HAVE_RUN
         if now_us + self._margin_us(spec.key_window_us) > tracked.ambiguous_since_us + spec.key_window_us:
@@ -393,6 +432,25 @@
         is_elsewhere = spec.key_scope != "all" and zone != tracked.ambiguous_zone
         return Refusal.OTHER_ZONE if is_elsewhere else None
 
+    def _refuse_unconfirmed(self, tracked: _TrackedMessage, now_us: int) -> Refusal | None:
+        """Refuse a retry that would be too late if an unconfirmed attempt had run."""
+        if not tracked.unconfirmed_us:
+            return None
+        window_us = tracked.message_class.key_window_us
+        is_in_window = now_us + self._margin_us(window_us) <= min(tracked.unconfirmed_us.values()) + window_us
+        return None if is_in_window else Refusal.UNCONFIRMED
+
+    def may_reuse_connection(self, message: str) -> Refusal | None:
+        """Return why an attempt needs a connection that has carried no call before, or ``None``.
+
+        On a reused connection a copy of an earlier response may be taken for that of the attempt. The error
+        can be undone only if the message may be sent again, and out of order.
+        """
+        tracked = self._messages.get(message)
+        if tracked is not None and _needs_certain_responses(tracked):
+            return Refusal.NEEDS_NEW_CONNECTION
+        return None
+
     def may_acknowledge(self, message: str) -> Refusal | None:
         """Mark the message as acknowledged and return ``None``, or return why it may not be."""
         tracked = self._messages.get(message)
@@ -453,6 +511,16 @@
         return refusal
 
 
+def _needs_certain_responses(tracked: _TrackedMessage) -> bool:
+    spec = tracked.message_class
+    return (
+        spec.idempotency is Idempotency.NON_IDEMPOTENT
+        or (spec.idempotency is Idempotency.IDEMPOTENT_WITH_KEY and spec.key_scope != "all")
+        or tracked.order_key is not None
+        or tracked.ambiguous_since_us is not None
+    )
+
+
 def _refuse_end(tracked: _TrackedMessage, result: Result) -> Refusal | None:
     if tracked.state is MessageState.ENDING:
         return Refusal.ENDED
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -60,6 +60,7 @@
         self.connector: Any = None
         self.is_written = False  # the whole request was handed to the operating system
         self.is_started = False
+        self.started_at_s = pool.clock.seconds()
         self.has_extended_timeout = False  # once, to read input that arrived before the timeout
         self.idle_us: int | None = None  # idle time of a reused connection
         self.timer: DelayedCall | None = None
@@ -124,7 +125,7 @@
         if not self.is_started and is_local_connect_failure(failure):
             # A local failure, such as no free port, must not count against the endpoint.
             self.finish(AttemptOutcome(AttemptStatus.NOT_SENT, True, reason=reason))
-        elif not self.is_started or self._is_request_incomplete(connection):
+        elif not self.is_started or self.is_request_incomplete(connection):
             self.finish(AttemptOutcome(AttemptStatus.CONNECT_FAILED, True, reason=reason))
         else:
             self.record_reuse_result(is_lost=connection.reader is None or not connection.reader.has_started)
@@ -134,7 +135,7 @@
         """Report to the keep-alive policy whether the connection was lost before any response byte."""
         self.pool.keep_alive.record_call(int(self.pool.clock.seconds() * 1e6), self.idle_us, is_lost)
 
-    def _is_request_incomplete(self, connection: HttpConnection | None) -> bool:
+    def is_request_incomplete(self, connection: HttpConnection | None) -> bool:
         """Return whether part of the request is still buffered, so that it can't have been executed."""
         transport = connection.transport if connection is not None else None
         return (
@@ -147,7 +148,7 @@
     def _on_timeout(self) -> None:
         self.timer = None
         connection = self.connection
-        is_incomplete = self._is_request_incomplete(connection)
+        is_incomplete = self.is_request_incomplete(connection)
         left_s = self.deadline_s - self.pool.clock.seconds()
         if self.is_started and not is_incomplete and left_s > 0:
             # The rest was written meanwhile; wait for the response.
@@ -160,8 +161,11 @@
             self.has_extended_timeout = True
             self.timer = self.pool.clock.callLater(0, self._on_timeout)
             return
-        if connection is not None and connection.reader is not None and connection.reader.status == 200:
-            connection.finish_call(AttemptOutcome(AttemptStatus.OK))  # the status line alone is sufficient
+        status = (
+            connection.reader.status if connection is not None and connection.reader is not None else None
+        )
+        if connection is not None and connection.is_delivered_by_status_line(status):
+            connection.finish_call(AttemptOutcome(AttemptStatus.OK))
             connection.close()
             return
         self._finish_without_response(connection, is_incomplete)
@@ -179,6 +183,7 @@
             self.finish(AttemptOutcome(AttemptStatus.TIMEOUT, True, reason="not written in time"))
         else:
             is_unread = connection is None or connection.reader is None or not connection.reader.has_started
+            self.pool.record_timeout(self)
             self.record_reuse_result(is_lost=is_unread)
             reason = "no answer in time"
             partial = connection and connection.classify_partial(AttemptStatus.TIMEOUT, reason)
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import http
-from honeybarrow.delivery.outcome import AttemptOutcome
+from honeybarrow.delivery.outcome import AttemptOutcome, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
 from honeybarrow.node.http_outcome import classify_response
+from honeybarrow.node.response_pairing import ResponsePairing, needs_confirmation
 from honeybarrow.node.sockets import write_now
 
 if TYPE_CHECKING:
@@ -19,6 +23,34 @@
     from honeybarrow.node.http_connection_pool import HttpConnectionPool
 
 
+_THROTTLING_START = b"HTTP/1.1 429"
+MAX_SURPLUS_BYTES = 16_384  # read of a surplus response, for its Retry-After
+
+
+@dataclass(frozen=True, slots=True)
+class UnconfirmedResponse:
+    """A response that may belong to another request than that of ``message``."""
+
+    message: str
+    verdict: Deferred[Verdict]
+
+
+def _may_become_throttling(surplus: bytes) -> bool:
+    """Return whether the bytes are an incomplete 429 response, whose Retry-After has to be respected."""
+    start = surplus[: len(_THROTTLING_START)]
+    is_throttling = start[:7] == _THROTTLING_START[:7] and start[8:] == _THROTTLING_START[8 : len(start)]
+    is_incomplete = b"\r\n\r\n" not in surplus and len(surplus) < MAX_SURPLUS_BYTES
+    return is_throttling and is_incomplete
+
+
+def _read_retry_after(surplus: bytes) -> int:
+    """Return the Retry-After of a surplus response in microseconds; 0 without one."""
+    heads = [event for event in http.ResponseReader().receive(surplus) if isinstance(event, http.Head)]
+    if not heads:
+        return 0
+    return classify_response(heads[0].status, heads[0].fields, ()).retry_after_us
+
+
 class HttpConnection(Protocol):
     """Client connection to a target, from connect to close."""
 
@@ -34,6 +66,11 @@
         self.head: http.Head | None = None
         self.waiting_since_s = 0.0  # time at which it became idle or began to await the rest of a body
         self.is_closed = False
+        self.is_close_announced = False  # the peer closes after its last response
+        self.pairing: ResponsePairing[UnconfirmedResponse] = ResponsePairing()
+        self._request_written_at_s = 0.0
+        self._is_response_premature = False  # it began before the end of its request was written
+        self._surplus = b""
 
     def connectionMade(self) -> None:
         """Start the pending call; called by Twisted."""
@@ -47,13 +84,21 @@
         """Write a request; return whether all of it was handed to the operating system."""
         self.reader, self.head = http.ResponseReader(http.MAX_BODY_BYTES), None
         self.requests += 1
+        self._request_written_at_s = self.pool.clock.seconds()
+        self._is_response_premature = False
         return write_now(self.transport, data)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; called by Twisted."""
-        if self.reader is None:  # unsolicited data would be taken for the next call's response
+        self.pairing.record_input(self._now_us())
+        if self.reader is None:
             self._on_surplus(data)
             return
+        if self.call is not None and self.call.is_request_incomplete(self):
+            if not self.pairing.is_next_certain:
+                self._on_premature_copy(self.call, data)
+                return
+            self._is_response_premature = True
         for event in self.reader.receive(data):
             match event:
                 case http.Head():
@@ -71,26 +116,73 @@
         head, reader, self.reader = self.head, self.reader, None
         if head is not None and head.status != 200:
             self._finish_by_head(head)
-        if can_reuse and self.call is None and not self.is_closed:
+        if can_reuse and self.call is None and not self.is_closed and not self._is_response_premature:
             self.pool.add_idle(self)
-            return
-        if reader is not None and reader.has_surplus:
+        elif reader is not None and reader.has_surplus:
             self._on_surplus(reader.take_surplus())
+        elif self.pairing.unconfirmed:
+            self.is_close_announced = True
+            self.pool.retire(self)
+        else:
+            self.close()
+
+    def _on_premature_copy(self, call: HttpCall, data: bytes) -> None:
+        """Handle a copy of an earlier response that arrived before the end of a request was written."""
+        self.call = None
+        call.finish(AttemptOutcome(AttemptStatus.CONNECT_FAILED, True, reason="response before the request"))
+        self._on_surplus(data)
         self.close()
 
     def _on_surplus(self, data: bytes) -> None:
-        """Report bytes that belong to no request, and close the connection."""
-        self.pool.report_surplus(self, data)
+        """Handle bytes that belong to no request: outcomes read on this connection may be wrong."""
+        if self.call is not None:  # its request has not been written yet
+            self.close()
+            return
+        if not self._surplus:
+            self.pool.report_surplus(self, data)
+        self._surplus += data
+        if _may_become_throttling(self._surplus):
+            self.pool.await_response_rest(self)
+            return
+        retry_after_us = _read_retry_after(self._surplus)
+        if retry_after_us:
+            self.pool.report_retry_after(self.target, retry_after_us)
         self.close()
 
+    def confirm_by_silence(self) -> None:
+        """Confirm the outcomes read on this connection if it has been silent for long enough."""
+        if self._surplus:
+            return
+        silence_us = self.pool.reuse_policy.silence_us(self.target)
+        for response in self.pairing.take_confirmed(self._now_us(), silence_us):
+            response.verdict.callback(Verdict.CONFIRMED)
+
+    def _settle(self, verdict: Verdict) -> None:
+        """Give a verdict on all outcomes read on this connection that silence has not confirmed."""
+        if not self.pairing.unconfirmed:
+            return
+        self.confirm_by_silence()
+        for response in self.pairing.take_unconfirmed():
+            response.verdict.callback(verdict)
+
+    def _now_us(self) -> int:
+        return int(self.pool.clock.seconds() * 1e6)
+
     def _on_invalid_response(self, event: http.InvalidResponse) -> None:
         remedy = "tell the target's owner: its responses are not valid HTTP/1.1 within the protocol's limits"
         self.pool.rate_limited_log.warn("invalid_response", f"{self.target}: {event.reason}", remedy)
-        if event.status == 200:
+        if self.is_delivered_by_status_line(event.status):
             self.finish_call(AttemptOutcome(AttemptStatus.OK))
         else:
             self.finish_call(self.classify_partial(AttemptStatus.RESET, f"invalid response: {event.reason}"))
 
+    def is_delivered_by_status_line(self, status: int | None) -> bool:
+        """Return whether an incomplete or invalid response still shows that the message was delivered.
+
+        A copy that is cut off is followed by the true response, so on a reused connection it shows nothing.
+        """
+        return status == 200 and self.pairing.is_next_certain
+
     def classify_partial(self, status: AttemptStatus, reason: str) -> AttemptOutcome:
         """Return the ambiguous outcome of a truncated response, with its Retry-After if the head arrived."""
         head = self.head
@@ -105,7 +197,24 @@
         call, self.call = self.call, None
         if call is not None:
             call.record_reuse_result(is_lost=False)
-            call.finish(outcome)
+            call.finish(self._pair(call, outcome))
+
+    def _pair(self, call: HttpCall, outcome: AttemptOutcome) -> AttemptOutcome:
+        """Record the response to a call; return its outcome, with a verdict to come if it is uncertain."""
+        now_us = self._now_us()
+        self.pool.reuse_policy.record_response_time(
+            self.target, now_us - int(self._request_written_at_s * 1e6)
+        )
+        is_delivered = outcome.status is AttemptStatus.OK
+        if not self.pairing.is_next_certain and not is_delivered:
+            outcome = replace(outcome, retry_hold_us=self.pool.reuse_policy.retry_hold_us(self.target))
+        if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
+            self.pairing.record_response(now_us, None, is_delivered)
+            return outcome
+        response = UnconfirmedResponse(call.payload.message, Deferred())
+        self.pairing.record_response(now_us, response, is_delivered)
+        self.pool.await_verdict(self)
+        return replace(outcome, verdict=response.verdict)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Finish the current call after a loss or a failed connect; called by Twisted."""
@@ -116,15 +225,19 @@
         for event in events:
             if isinstance(event, http.Complete) and head is not None:
                 self._finish_by_head(head)
-            elif isinstance(event, http.InvalidResponse) and event.status == 200:
+            elif isinstance(event, http.InvalidResponse) and self.is_delivered_by_status_line(event.status):
                 self.finish_call(AttemptOutcome(AttemptStatus.OK))
         call, self.call = self.call, None
         if call is not None:
             call.on_connection_lost(self, reason)
+        # A peer that ends the connection as announced has sent all its responses.
+        is_complete = self.is_close_announced and isinstance(reason.value, ConnectionDone)
+        self._settle(Verdict.CONFIRMED if is_complete else Verdict.REFUTED)
 
-    def close(self) -> None:
-        """Abort the connection and discard any unread input."""
+    def close(self, verdict: Verdict = Verdict.REFUTED) -> None:
+        """Abort the connection, discard unread input, and give a verdict on unconfirmed outcomes."""
         self.is_closed = True
         self.pool.remove(self)
+        self._settle(verdict)
         if self.transport is not None:
             self.transport.abortConnection()
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -104,6 +104,7 @@
             self.endpoints.accepts_calls,
             budget.endpoint_connections,
             self.surplus_responses.record,
+            lambda target, retry_after_us: self.forwarder.on_retry_after(target, retry_after_us),
         )
 
     def _build_forwarder(self) -> Forwarder:
--- a/honeybarrow/node/shutdown.py
+++ b/honeybarrow/node/shutdown.py
@@ -66,6 +66,7 @@
         # Closing a new connection too early would fail the request that its client is about to send.
         is_idle = (
             self.forwarder.open_count == 0
+            and self.forwarder.unconfirmed.count == 0
             and not self.notifications.unacknowledged
             and not self.front.has_requests
         )
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -86,6 +86,8 @@
     ) -> None:
         self.forwarder, self.write_ahead_log, self.notifications = forwarder, write_ahead_log, notifications
         self.guard = forwarder.guard
+        forwarder.on_redelivered = self.on_result
+        forwarder.on_refuted_delivery = self._fail_refuted_delivery
         self.is_destination_listed, self.rng = is_destination_listed, rng
         self.tenants = {tenant.name: None for tenant in forwarder.settings.tenants}
         self.is_ready = False
@@ -249,6 +251,14 @@
         self.guard.on_result_recovered(result.message, expires_us, _hash_if_ordered(accepted.order_key))
         self.notify_result(result)
 
+    def _fail_refuted_delivery(self, message: str) -> None:
+        """Notify the failure of a message that may not have been delivered and can't be sent again.
+
+        By the protocol a notification for a message that is already over has no effect.
+        """
+        if message in self.write_ahead_log.pending_messages.by_id:
+            self.notify_recovered_result(FinalResult(message, is_returned=False))
+
     def select_notifiable(self, messages: Iterable[str]) -> list[str]:
         """Return the messages whose final results may be notified now."""
         messages = list(messages)
--- a/honeybarrow/policy/lifecycle.py
+++ b/honeybarrow/policy/lifecycle.py
@@ -6,7 +6,13 @@
 
 from honeybarrow import sender_state
 from honeybarrow.actions import FailPermanently, ReturnToClient
-from honeybarrow.events import AttemptFinished, AttemptStatus, MessageArrived
+from honeybarrow.events import (
+    AttemptFinished,
+    AttemptStatus,
+    MessageArrived,
+    OutcomeRefuted,
+    RetryAfterReceived,
+)
 from honeybarrow.policy import backoff, endpoint_health
 from honeybarrow.policy.backoff import DEADLINE_MARGIN_US, can_return, latest_start_us
 from honeybarrow.policy.endpoint_health import min_useful_us
@@ -97,7 +103,7 @@
     elif message.is_rejected:
         give_final_result(state, message)
     else:
-        _retry(state, message)
+        _retry(state, message, event.retry_hold_us)
 
 
 def _record_ambiguous(state: SenderState, message: Message, call: Call, status: AttemptStatus) -> None:
@@ -110,13 +116,33 @@
         heapq.heappush(state.message_timers, (state.key_cooldowns[message.order_key], message.id))
 
 
-def _retry(state: SenderState, message: Message) -> None:
+def on_outcome_refuted(state: SenderState, event: OutcomeRefuted) -> None:
+    """Record that an attempt may have run after all; its message may have no retry left."""
+    message = state.messages.get(event.message)
+    if message is None or message.is_completed:
+        return
+    message.ambiguous_since_us = min(message.ambiguous_since_us, state.now - event.age_us)
+    if message.in_flight == 0:
+        _schedule_deadline_check(state, message)
+
+
+def on_retry_after(state: SenderState, event: RetryAfterReceived) -> None:
+    """Stop sending to an endpoint, or all of its destination, for the time it has told to wait."""
+    endpoint = state.endpoints.get(event.target)
+    if endpoint is None:
+        return
+    scope = endpoint.scope
+    scope.retry_after_until_us = max(scope.retry_after_until_us, state.now + event.retry_after_us)
+    state.changed_destinations[endpoint.destination.index] = endpoint.destination
+
+
+def _retry(state: SenderState, message: Message, hold_us: int) -> None:
     """Schedule a retry after a failed attempt, or give the final result if a cap is reached.
 
     The soft cap applies only after the minimum number of retries; the hard cap and ``max_attempts`` always.
     """
     retries, spec = len(message.attempts), message.message_class
-    at = state.now + backoff.backoff_us(retries, state.rng)
+    at = state.now + max(hold_us, backoff.backoff_us(retries, state.rng))
     is_past_objective = at > message.created_us + spec.latency_objective_us
     is_soft_capped = retries > state.min_retries[spec.name] and is_past_objective
     is_hard_capped = at > latest_start_us(message, min_useful_us(message.destination))
--- a/honeybarrow/policy/sender.py
+++ b/honeybarrow/policy/sender.py
@@ -11,6 +11,8 @@
     MembershipUpdate,
     MessageArrived,
     MessageExpired,
+    OutcomeRefuted,
+    RetryAfterReceived,
     TimerFired,
 )
 from honeybarrow.policy import admission, lifecycle, membership
@@ -71,6 +73,10 @@
             lifecycle.on_message_arrived(state, event)
         elif isinstance(event, AttemptFinished):
             lifecycle.on_attempt_finished(state, event)
+        elif isinstance(event, OutcomeRefuted):
+            lifecycle.on_outcome_refuted(state, event)
+        elif isinstance(event, RetryAfterReceived):
+            lifecycle.on_retry_after(state, event)
         elif isinstance(event, MessageExpired) and event.message in state.messages:
             complete(state, state.messages[event.message])
         elif isinstance(event, MembershipUpdate):
--- a/honeybarrow/ports.py
+++ b/honeybarrow/ports.py
@@ -78,6 +78,10 @@
         """
         ...
 
+    def may_reuse_connection(self) -> bool:
+        """Return whether the attempt may use a connection that has carried a call before."""
+        ...
+
     def time_left_us(self) -> int:
         """Return the time left to write the last byte, in microseconds; negative if it is too late."""
         ...
--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -55,8 +55,10 @@
         super().__init__(condition)
         self.endpoint, self.forwarder = endpoint, forwarder
         self.reader = HttpMessageReader()
-        self.open_call: HttpMessage | None = None
+        self.open_calls: deque[HttpMessage] = deque()  # received and not answered, oldest first
+        self._is_processing = False
         self._undelivered: deque[HttpMessage] = deque()  # recorded, but still held by the link
+        self._delivered: deque[HttpMessage] = deque()  # not being processed yet
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the endpoint."""
@@ -66,26 +68,39 @@
     def on_data_received(self, data: bytes, arrived_s: float) -> None:
         """Record calls when they arrive at the socket, before the link delays them."""
         for message in self.reader.receive(data, arrived_s):
-            self.open_call = message
+            self.open_calls.append(message)
             self._undelivered.append(message)
             self.endpoint.record_call(self, message)
 
     def on_data_delivered(self, data: bytes, arrived_s: float) -> None:
         """Handle the calls that the link has delivered."""
         while self._undelivered and self._undelivered[0].last_byte_s <= arrived_s:
-            self.endpoint.on_call(self, self._undelivered.popleft())
+            self._delivered.append(self._undelivered.popleft())
+        self.process_next()
+
+    def process_next(self) -> None:
+        """Process the next call, unless one is being processed: a connection is served in order."""
+        if self._delivered and not self._is_processing:
+            self._is_processing = True
+            self.endpoint.on_call(self, self._delivered.popleft())
+
+    def on_processed(self) -> None:
+        """Remove the oldest call, whose response has been written, and process the next one."""
+        self.open_calls.popleft()
+        self._is_processing = False
+        self.process_next()
 
     def on_copied(self, data: bytes) -> None:
         """Record a copied response with the message whose call is open."""
-        message = self.open_call.fields.get("x-correlation-id", "") if self.open_call else ""
+        message = self.open_calls[0].fields.get("x-correlation-id", "") if self.open_calls else ""
         status = data.split(b" ", 2)[1].decode("latin-1")
         self.endpoint.history.add(EventKind.COPIED, self.forwarder, message, self.endpoint.name, status)
 
     def on_connection_lost(self) -> None:
-        """Record the open call as closed by the forwarder."""
+        """Record the open calls as closed by the forwarder."""
         self.endpoint.connections.pop(self, None)
-        call, self.open_call = self.open_call, None
-        if call is not None:
+        calls, self.open_calls = self.open_calls, deque()
+        for call in calls:
             message = call.fields.get("x-correlation-id", "")
             self.endpoint.history.add(
                 EventKind.CALL_CLOSED, self.forwarder, message, self.endpoint.name, "forwarder"
@@ -213,14 +228,15 @@
 
     def _finish(self, connection: _EndpointConnection, call: HttpMessage, mode: EndpointMode) -> None:
         self.active_calls -= 1
-        if connection.is_lost or connection.open_call is not call:
+        if connection.is_lost or call not in connection.open_calls:
             return
         if mode is EndpointMode.HANG:
             return
         is_reset = self._rng.random() < connection.condition.reset_probability
         if mode is EndpointMode.RESET or is_reset:
-            self._record(connection, call, EventKind.CALL_CLOSED, "endpoint")
-            connection.open_call = None
+            for open_call in connection.open_calls:
+                self._record(connection, open_call, EventKind.CALL_CLOSED, "endpoint")
+            connection.open_calls.clear()
             connection.reset()
             return
         self._answer(connection, call, mode)
@@ -239,13 +255,13 @@
             data, status = MALFORMED_RESPONSE, "malformed"
 
         def on_written(written_s: float) -> None:
-            connection.open_call = None
             self._record(connection, call, EventKind.CALL_ANSWERED, status, retry_after_s, written_s)
             is_half_closing = self._rng.random() < connection.condition.half_close_probability
             if mode is EndpointMode.CLOSE_IDLE:
                 connection.close()
             elif is_half_closing:
                 connection.half_close()
+            connection.on_processed()
 
         connection.send(data, on_written)
 
