Each batch of notifications has a connection of its own

Seen by the platform: accepted messages without a final result, when a 204 came twice and the connection broke before the next batch was read. Cause: NotificationSender reused its connection; a copy of an earlier 204 counted as the acknowledgement of the batch that was out, whose notifications were then recorded as completed. Change: one connection for one batch, so a response on it is that batch's; the code of the kept connection is gone. The golden test of the bytes connects twice, with the same bytes.

--- a/honeybarrow/node/notifications.py
+++ b/honeybarrow/node/notifications.py
@@ -1,4 +1,8 @@
-"""Delivery of final results to the platform, in batches that are retried until acknowledged."""
+"""Delivery of final results to the platform, in batches that are retried until acknowledged.
+
+Each batch has a connection of its own: on a reused one, a copy of the response to an earlier batch would be
+taken for the acknowledgement of the next.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,7 @@
 
 from honeybarrow import http
 from honeybarrow.delivery import Connector
-from honeybarrow.node.sockets import is_open_and_quiet, write_now
+from honeybarrow.node.sockets import write_now
 from honeybarrow.ports import Clock, DelayedCall, Network
 from honeybarrow.recovery import FinalResult
 
@@ -24,7 +28,6 @@
 CONNECT_TIMEOUT_S = 3.0  # after the response timeout, another connection is tried at the same time
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 1.0  # exponential backoff after a failure
 MAX_QUICK_CONNECTS = 20  # consecutive failed connects that are retried after the minimum delay
-MAX_IDLE_S = 1.5  # of a keep-alive connection that is reused
 MAX_LATE_CONNECTIONS = 3  # connections kept open for a late response
 ACKNOWLEDGED_STATUS = 204
 log = logging.getLogger("honeybarrow.node")
@@ -40,7 +43,7 @@
 
 
 class _NotificationConnection(Protocol):
-    """Connection to the platform that carries one batch at a time."""
+    """Connection to the platform that carries one batch."""
 
     transport: Any = None
 
@@ -48,7 +51,6 @@
         self.sender, self.host = sender, host
         self.reader: http.ResponseReader | None = None
         self.batch: list[str] = []
-        self.idle_since_s = 0.0
         self.is_abandoned = False
 
     def connectionMade(self) -> None:
@@ -78,13 +80,13 @@
         reader = self.reader
         for event in reader.receive(data) if reader is not None else ():
             match event:
-                case http.Complete(is_reusable):
+                case http.Complete():
                     self.reader = None
                     status = reader.status if reader is not None else None
-                    self.sender.on_response(self, status or 0, is_reusable)
+                    self.sender.on_response(self, status or 0)
                 case http.InvalidResponse(status):
                     self.reader = None
-                    self.sender.on_response(self, status or 0, False)
+                    self.sender.on_response(self, status or 0)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the loss of the connection to the sender."""
@@ -112,7 +114,6 @@
         self._active: _NotificationConnection | None = None
         # Timed out and sent again on another connection; a late acknowledgement still counts.
         self._late: list[_NotificationConnection] = []
-        self._idle: _NotificationConnection | None = None
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._failed_connects = 0  # since the last acknowledgement
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
@@ -137,10 +138,10 @@
         if address == self.address:
             return
         self.address = address
-        for connection in (self._active, self._idle, *self._late):
+        for connection in (self._active, *self._late):
             if connection is not None:
                 _abort(connection)
-        self._active, self._idle, self._late = None, None, []
+        self._active, self._late = None, []
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._clear_timer()
         self._send_batch()
@@ -159,25 +160,13 @@
         if not batch:
             self._timer = self.clock.callLater(NOTIFIABLE_CHECK_INTERVAL_S, self._send_batch)
             return
-        connection, self._idle = self._idle, None
-        if connection is not None:
-            if self.clock.seconds() - connection.idle_since_s < MAX_IDLE_S and is_open_and_quiet(
-                connection.transport
-            ):
-                self._active, connection.batch = connection, batch
-                self._timer = self.clock.callLater(
-                    self._response_timeout_s, self._on_response_timeout, connection
-                )
-                connection.write_batch()
-                return
-            connection.transport.abortConnection()
         self._active = connection = _NotificationConnection(self, self.address[0])
         connection.batch = batch
         self._timer = self.clock.callLater(self._response_timeout_s, self._on_response_timeout, connection)
         self.network.connectTCP(*self.address, Connector(connection), timeout=CONNECT_TIMEOUT_S)
 
-    def on_response(self, connection: _NotificationConnection, status: int, is_reusable: bool) -> None:
-        """Handle the response to a batch; ``is_reusable`` means that the connection may carry another."""
+    def on_response(self, connection: _NotificationConnection, status: int) -> None:
+        """Handle the response to a batch."""
         if connection in self._late:
             self._late.remove(connection)
             _abort(connection)
@@ -196,10 +185,7 @@
         self._acknowledge(connection.batch)
         self._retry_delay_s, self._response_timeout_s = MIN_RETRY_DELAY_S, MIN_RESPONSE_TIMEOUT_S
         self._failed_connects = 0
-        if is_reusable:
-            self._idle, connection.idle_since_s = connection, self.clock.seconds()
-        else:
-            connection.transport.loseConnection()
+        connection.transport.loseConnection()
         self._send_batch()
 
     def _acknowledge(self, batch: list[str]) -> None:
@@ -211,8 +197,6 @@
         """Handle the loss of a connection."""
         if connection in self._late:
             self._late.remove(connection)
-        if connection is self._idle:
-            self._idle = None
         if connection is self._active:
             self._active = None
             self._clear_timer()
--- a/tests/test_golden_platform.py
+++ b/tests/test_golden_platform.py
@@ -427,12 +427,12 @@
     bench.clock.advance(0)
     link, transport = bench.clock.tcpClients[-1][2].buildProtocol(None), MemoryTransport()
     link.makeConnection(transport)
-    first = transport.value()
-    transport.clear()
     link.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n")
     bench.submissions.notify_result(FinalResult("täht", False))
     bench.clock.advance(0)
-    return [first.decode("latin-1"), transport.value().decode("latin-1")]
+    second_link, second_transport = bench.clock.tcpClients[-1][2].buildProtocol(None), MemoryTransport()
+    second_link.makeConnection(second_transport)  # each batch has a connection of its own
+    return [transport.value().decode("latin-1"), second_transport.value().decode("latin-1")]
 
 
 def test_notifications_are_sent_as_the_same_bytes(tmp_path: Path) -> None:
