An item of the watch that is not newer than the last one brings no endpoint back

Seen at targets: calls to an endpoint that had left the list, 20 of 20 times when a copy of an older item came on the same watch. Cause: Discovery.on_watch_item applied each item whatever its version, and a copy counted as a sign that the list is up to date. Change: on one watch only newer items are applied; another is ignored, confirms nothing, and the whole list is requested on a new connection, at most every 2 s. The stand-in sends the whole list to a watch that names no version, as the platform does.

--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -8,6 +8,10 @@
 reachable. The worst case is a request that begins just before that: ``RESPONSE_TIMEOUT_S``, plus the policy's
 longest backoff, plus the response time of the next request.
 
+On one watch the version of the list only grows. An item at or below the version of an earlier one is a copy:
+it is ignored, is no sign that discovery works, and makes the client ask for the whole list on a new one.
+The first item is applied whatever its version, since nothing on its connection precedes it.
+
 An overloaded discovery may reject requests for longer than that. The list counts as outdated if discovery has
 rejected a request and neither an item nor a heartbeat arrived for ``MAX_LIST_AGE_S``. It does not become
 outdated while discovery is unreachable.
@@ -35,6 +39,7 @@
 RESPONSE_TIMEOUT_S = 2.2  # from the connect to the response head; two of these fit into 6 s
 MAX_LIST_AGE_S = 5.9  # since the last item or heartbeat; below the required 6 s
 MAX_LIST_AGE_AFTER_START_S = 3.9  # since the start or a change of address; below the required 4 s
+MIN_RESYNC_INTERVAL_S = 2.0  # between requests of the whole list after items that were not new
 # An overloaded discovery rejects requests within this time; a gateway reports an unreachable one later.
 MAX_REJECTION_DELAY_S = 1.0
 log = logging.getLogger("honeybarrow.node")
@@ -52,6 +57,7 @@
         self.is_closed = False
         self.has_answered = False  # the response head has been received
         self.requested_at_s = 0.0
+        self.newest_version: int | None = None  # of the items received on this watch
 
     def connectionMade(self) -> None:
         """Request the watch, starting from the current version."""
@@ -86,21 +92,32 @@
                     self.discovery.on_watch_failed(self, "the response of the watch ended or is invalid")
 
     def _receive_items(self, part: bytes) -> None:
-        before = self.items.activity_count
+        heartbeats_before = self.items.heartbeat_count
         try:
             updates = self.items.receive(part)
         except EndpointListError as error:
             self.discovery.on_watch_failed(self, format_error(error))
             return
-        # Only whole items and heartbeats count, so a watch that trickles bytes still times out.
-        if self.items.activity_count > before:
+        news = [update for update in updates if self._is_news(update)]
+        # Only whole new items and heartbeats count, so a watch that trickles bytes still times out.
+        is_active = bool(news) or self.items.heartbeat_count > heartbeats_before
+        if is_active:
             self.discovery.on_watch_activity(self)
-        for update in updates:
+        for update in news:
             if not self.is_closed:
                 self.discovery.on_watch_item(update)
         # Confirmed after the updates, so that held calls use the new list.
-        if self.items.activity_count > before:
+        if is_active:
             self.discovery.on_list_confirmed()
+        if len(news) < len(updates):
+            self.discovery.on_repeated_item(self)
+
+    def _is_news(self, update: EndpointList) -> bool:
+        """Return whether an item is newer than the items before it on this watch."""
+        is_news = self.newest_version is None or update.version > self.newest_version
+        if is_news:
+            self.newest_version = update.version
+        return is_news
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the loss of the watch."""
@@ -131,6 +148,8 @@
         self._watch: _Watch | None = None
         self._timer: DelayedCall | None = None
         self._is_subscribed = False
+        self._next_resync_s = clock.seconds()
+        self._resync_timer: DelayedCall | None = None
         self.is_outdated = False  # the current list may lack changes that must be applied by now
         self._outdated_at_s = clock.seconds() + MAX_LIST_AGE_AFTER_START_S
         self._outdated_timer: DelayedCall | None = None  # from a rejection to the next item or heartbeat
@@ -139,7 +158,7 @@
         """Open a watch, unless one is open."""
         self._is_subscribed = True
         if self._watch is None:
-            self._open_watch()
+            self._open_watch(self.version)
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Reopen the watch at another address, starting from the current version."""
@@ -151,7 +170,7 @@
             self._set_outdated_timer()
         self.close()
         if self._is_subscribed:
-            self._open_watch()
+            self._open_watch(self.version)
 
     def close(self) -> None:
         """End the watch."""
@@ -162,9 +181,10 @@
             if watch.transport is not None:
                 watch.transport.abortConnection()
 
-    def _open_watch(self) -> None:
+    def _open_watch(self, version: int | None) -> None:
+        """Open a watch for what changes after ``version``, or for the whole list."""
         host, port = self.address
-        self._watch = watch = _Watch(self, host, self.version)
+        self._watch = watch = _Watch(self, host, version)
         self._set_timer(RESPONSE_TIMEOUT_S)
         self.network.connectTCP(host, port, Connector(watch), timeout=RESPONSE_TIMEOUT_S)
 
@@ -182,7 +202,23 @@
         # Reopened at once; with the policy's backoff the list could exceed its maximum age.
         log.info("watch_timeout reopening=True")
         self.close()
-        self._open_watch()
+        self._open_watch(self.version)
+
+    def on_repeated_item(self, watch: _Watch) -> None:
+        """Ask for the whole list after an item that is not new, at a limited rate."""
+        if watch is not self._watch or self._resync_timer is not None:
+            return
+        delay_s = max(0.0, self._next_resync_s - self.clock.seconds())
+        log.info("watch_item_repeated version=%s resync_in_s=%.1f", self.version, delay_s)
+        self._resync_timer = self.clock.callLater(delay_s, self._resync)
+
+    def _resync(self) -> None:
+        """Request the whole list on a new connection, unless there is no watch to replace."""
+        self._resync_timer = None
+        self._next_resync_s = self.clock.seconds() + MIN_RESYNC_INTERVAL_S
+        if self._watch is not None:
+            self.close()
+            self._open_watch(None)
 
     def on_watch_activity(self, watch: _Watch) -> None:
         """Restart the watch timeout after a response head, an item or a heartbeat."""
--- a/honeybarrow/node/endpoint_list.py
+++ b/honeybarrow/node/endpoint_list.py
@@ -81,7 +81,7 @@
         self._partial_line = bytearray()
         self._partial_item = bytearray()  # complete lines of an incomplete item
         self._open_brackets = 0  # in ``_partial_item``
-        self.activity_count = 0  # complete items and heartbeats received
+        self.heartbeat_count = 0  # empty lines received
 
     def receive(self, data: bytes) -> list[EndpointList]:
         """Add received bytes; return the items that they complete.
@@ -99,7 +99,7 @@
         if not line.strip():
             if self._partial_item:
                 raise EndpointListError("an item of the list is interrupted by an empty line")
-            self.activity_count += 1
+            self.heartbeat_count += 1
             return None
         for token in _BRACKET.findall(line):
             self._open_brackets += (token in (b"{", b"[")) - (token in (b"}", b"]"))
@@ -107,7 +107,6 @@
         if self._open_brackets > 0:
             return None
         item, self._partial_item, self._open_brackets = bytes(self._partial_item), bytearray(), 0
-        self.activity_count += 1
         return parse_item(item)
 
 
--- a/honeybarrow/soak/discovery.py
+++ b/honeybarrow/soak/discovery.py
@@ -121,11 +121,12 @@
             return
         connection.send(WATCH_RESPONSE_HEAD)
         index = _INDEX.search(request.start_line)
-        connection.watched_version = int(index[1]) if index else 0
+        connection.watched_version = int(index[1]) if index else None
         self.watches[connection] = None
         self._send_changes(connection)
 
     def _send_changes(self, connection: _DiscoveryConnection) -> None:
+        is_whole_list = connection.watched_version is None
         sent_version = connection.watched_version or 0
         latest_changes: dict[str, ListChange] = {}
         for change in self.changes:
@@ -134,6 +135,8 @@
         connection.watched_version = self.version
         entries = [self._endpoint_entry(change, connection.forwarder) for change in latest_changes.values()]
         update = {"index": self.version, "snapshot": False, "endpoints": entries}
+        if is_whole_list:
+            update = self.endpoint_list(connection.forwarder)
         changes = list(latest_changes.values())
 
         def on_written(written_s: float) -> None:
--- a/tests/test_copied_platform_messages.py
+++ b/tests/test_copied_platform_messages.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.platform_harness import PlatformHarness, read_message
 from tests.test_service_on_platform import SETTINGS
 
@@ -92,3 +94,44 @@
         )
 
     run_with_platform(tmp_path, scenario, CopyingPlatform)
+
+
+class LeavingPlatform(CopyingPlatform):
+    """Platform on which the endpoint leaves, and a copy of an older item arrives after that."""
+
+    has_left = False
+
+    def endpoint_list(self, index: int, snapshot: bool) -> dict[str, Any]:
+        listed = super().endpoint_list(index, snapshot)
+        return {**listed, "endpoints": []} if self.has_left and snapshot else listed
+
+    def current_list(self) -> dict[str, Any]:
+        return self.endpoint_list(43 if self.has_left else 41, True)
+
+    def leave(self) -> None:
+        """Send that the endpoint has left."""
+        change = self.endpoint_list(43, False)
+        change["endpoints"][0]["status"] = "left"
+        self.has_left = True
+        self.send_item(change)
+
+
+# Guards against: an item that arrives again brings back an endpoint that has left since.
+@pytest.mark.parametrize(("index", "is_snapshot"), [(41, True), (42, False), (43, False)])
+def test_a_copied_item_of_the_watch_brings_no_endpoint_back(
+    tmp_path: Path, index: int, is_snapshot: bool
+) -> None:
+    async def scenario(platform: LeavingPlatform) -> None:
+        old = {**PlatformHarness.endpoint_list(platform, index, is_snapshot), "snapshot": is_snapshot}
+        await platform.wait_until(lambda: platform.watches)
+        await asyncio.sleep(0.2)
+        platform.leave()
+        await asyncio.sleep(0.1)
+        platform.send_item(old)
+        await asyncio.sleep(0.3)
+        for number in range(5):
+            await platform.submit(f"m{number}", left="1000m")
+        await asyncio.sleep(1.5)
+        assert platform.calls == []
+
+    run_with_platform(tmp_path, scenario, LeavingPlatform)
