--- a/tests/test_copied_responses.py
+++ b/tests/test_copied_responses.py
@@ -49,7 +49,14 @@
 # Guards against: a copied response is taken for that of the next call on its connection.
 @pytest.mark.parametrize(
     ("form", "timing"),
-    [(CopyForm.WHOLE, CopyTiming.AFTER_DATA), (CopyForm.WHOLE, CopyTiming.AFTER_REQUEST)],
+    [
+        (CopyForm.WHOLE, CopyTiming.AFTER_DATA),
+        (CopyForm.WHOLE, CopyTiming.AFTER_REQUEST),
+        (CopyForm.TWICE, CopyTiming.AFTER_REQUEST),
+        (CopyForm.PARTS, CopyTiming.AFTER_REQUEST),
+        (CopyForm.CUT, CopyTiming.AFTER_DATA),
+        (CopyForm.CUT, CopyTiming.AFTER_REQUEST),
+    ],
 )
 def test_copied_responses_of_endpoints_break_no_rule(
     tmp_path: Path, form: CopyForm, timing: CopyTiming
