Soak: a process that exited just before a kill counts as exited from then on

Cause, by the run's story: a torn write ended the process at 11.967 s, 0.1 s before the kill that was due at 12.075 s; the record had neither the exit nor the kill, so the results that the restart delayed counted as late. The protocol allows them until 1.5 s after the process is ready again. Change: a stop records the exit of a process that is already gone, with its status, as the watchdog does. This is stricter too: an exit without a cause just before a kill is now rule crash.

--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -151,7 +151,8 @@
 
     def confirm_by_silence(self) -> None:
         """Confirm the outcomes read on this connection if it has been silent for long enough."""
-        if self._surplus:
+        is_response_incomplete = self.call is None and self.reader is not None
+        if self._surplus or is_response_incomplete:
             return
         silence_us = self.pool.reuse_policy.silence_us(self.target)
         for response in self.pairing.take_confirmed(self._now_us(), silence_us):
--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -123,14 +123,14 @@
 
     async def kill_and_restart(self, wall_step_s: float = 0.0) -> None:
         """Kill the process, step the wall clock and start the next process."""
-        self.is_stopping = True
+        self._begin_stop()
         self.send_signal(signal.SIGKILL)
         await self._wait_for_exit()
         await self._restart(wall_step_s)
 
     async def terminate_and_restart(self, wall_step_s: float = 0.0) -> None:
         """Send SIGTERM, then SIGKILL after :data:`KILL_DELAY_S`, and start the next process."""
-        self.is_stopping = True
+        self._begin_stop()
         self.send_signal(signal.SIGTERM)
         await asyncio.sleep(KILL_DELAY_S)
         self.send_signal(signal.SIGKILL)
@@ -140,10 +140,15 @@
     async def restart_if_exited(self) -> None:
         """Start the next process if the last one has exited on its own."""
         if self.process is not None and self.process.poll() is not None and not self.is_stopping:
-            self.is_stopping = True
-            self.history.add(EventKind.PROCESS, self.name, detail=f"exited {self.process.returncode}")
+            self._begin_stop()
             await self._restart(0.0)
 
+    def _begin_stop(self) -> None:
+        """Mark the process as stopping, and record its exit if it has exited on its own."""
+        self.is_stopping = True
+        if self.process is not None and self.process.poll() is not None:
+            self.history.add(EventKind.PROCESS, self.name, detail=f"exited {self.process.returncode}")
+
     async def _restart(self, wall_step_s: float) -> None:
         if self.shim is not None and wall_step_s:
             self.shim.step_wall_clock(wall_step_s)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -7,6 +7,7 @@
 import pytest
 
 from honeybarrow.delivery import AttemptOutcome
+from honeybarrow.delivery.outcome import Verdict
 from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.http_outcome import classify_response, parse_load_report
 from honeybarrow.settings import Idempotency
@@ -242,3 +243,109 @@
     assert calls.pool.idle_count == 0 and len(calls.clock.tcpClients) == 6
     last = calls.outcomes[-1]
     assert (last.status, last.not_run, last.no_slot_free) == (Status.NOT_SENT, True, True)
+
+
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+FULL_RESPONSE = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+
+
+def reuse_connection(calls: CallBench) -> Any:
+    """Return a connection that has carried one call and now carries a second one."""
+    calls.call()
+    connection, _ = calls.connect()
+    connection.dataReceived(OK_RESPONSE)
+    calls.call()
+    assert len(calls.clock.tcpClients) == 1
+    return connection
+
+
+def read_verdicts(calls: CallBench) -> list[Verdict]:
+    """Return the list that receives the verdict on the last outcome."""
+    verdicts: list[Verdict] = []
+    verdict = calls.outcomes[-1].verdict
+    assert verdict is not None
+    verdict.addCallback(verdicts.append)
+    return verdicts
+
+
+# Guards against: an outcome read on a reused connection is final although a later byte can refute it.
+def test_a_delivery_on_a_reused_connection_is_confirmed_by_silence_and_refuted_by_a_surplus() -> None:
+    calls = CallBench()
+    reuse_connection(calls).dataReceived(OK_RESPONSE)
+    assert calls.outcomes[0].verdict is None  # the first response on a connection is certain
+    verdicts = read_verdicts(calls)
+    calls.clock.pump([0.4] * 2)
+    assert verdicts == []
+    calls.clock.pump([0.5] * 2)
+    assert verdicts == [Verdict.CONFIRMED]
+
+    calls = CallBench()
+    connection = reuse_connection(calls)
+    connection.dataReceived(OK_RESPONSE)
+    verdicts = read_verdicts(calls)
+    connection.dataReceived(FULL_RESPONSE)
+    assert verdicts == [Verdict.REFUTED] and connection.is_closed
+    calls.call()
+    assert len(calls.clock.tcpClients) == 2  # a new connection, also for later calls
+    calls.connect()[0].dataReceived(OK_RESPONSE)
+    assert calls.pool.idle_count == 0
+
+
+@pytest.mark.parametrize("how", ["same read", "lost", "rest of the response missing"])
+def test_a_delivery_on_a_reused_connection_is_refuted(how: str) -> None:
+    calls = CallBench()
+    connection = reuse_connection(calls)
+    if how == "same read":
+        connection.dataReceived(OK_RESPONSE + FULL_RESPONSE)
+    elif how == "lost":
+        connection.dataReceived(OK_RESPONSE)
+        connection.connectionLost(Failure(twisted_error.ConnectionLost()))
+    else:
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+    assert calls.outcomes[-1].status is Status.OK
+    verdicts = read_verdicts(calls)
+    calls.clock.pump([0.5] * 5)
+    assert verdicts == [Verdict.REFUTED] and connection.is_closed
+
+
+def test_an_announced_end_of_the_connection_confirms_its_outcomes() -> None:
+    calls = CallBench()
+    connection = reuse_connection(calls)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+    verdicts = read_verdicts(calls)
+    assert not connection.is_closed and calls.pool.idle_count == 0
+    connection.connectionLost(Failure(twisted_error.ConnectionDone()))
+    assert verdicts == [Verdict.CONFIRMED]
+
+
+@pytest.mark.parametrize("data", [b"HTTP/1.1 200 OK\r\nspoilt\r\n\r\n", b"HTTP/1.1 200 OK\r\nCont"])
+def test_a_status_line_of_200_alone_is_ambiguous_on_a_reused_connection(data: bytes) -> None:
+    calls = CallBench()
+    connection = reuse_connection(calls)
+    connection.dataReceived(data)
+    calls.clock.pump([0.5] * 7)
+    assert calls.outcomes[-1].status in (Status.RESET, Status.TIMEOUT) and not calls.outcomes[-1].not_run
+
+
+def test_the_wait_of_a_surplus_429_is_reported_also_if_it_comes_in_pieces() -> None:
+    calls = CallBench()
+    waits: list[tuple[str, int]] = []
+    calls.pool.report_retry_after = lambda target, wait_us: waits.append((target, wait_us))
+    connection = reuse_connection(calls)
+    connection.dataReceived(OK_RESPONSE)
+    for part in (b"HTTP/1.1 4", b"29 Wait\r\nX-Come-Back-Ms: 250\r\n", b"Content-Length: 0\r\n\r\n"):
+        assert not connection.is_closed
+        connection.dataReceived(part)
+    assert waits == [("a", 250_000)] and connection.is_closed
+
+
+def test_a_response_before_the_end_of_a_request_on_a_reused_connection_is_not_its_own() -> None:
+    calls = CallBench()
+    calls.call()
+    connection, transport = calls.connect()
+    connection.dataReceived(OK_RESPONSE)
+    transport.socket, transport.dataBuffer, transport._tempDataBuffer = FullSocket(), b"rest", []
+    calls.call()
+    connection.dataReceived(OK_RESPONSE)
+    assert (calls.outcomes[-1].status, calls.outcomes[-1].not_run) == (Status.CONNECT_FAILED, True)
+    assert connection.is_closed
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import random
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
 from honeybarrow.soak.clients import ClientPool
+from honeybarrow.soak.discovery import StandInDiscovery
 from honeybarrow.soak.endpoints import EndpointMode, StandInEndpoint
+from honeybarrow.soak.forwarder_process import ForwarderUnderTest
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.link import Impairment, LinkCondition
 
@@ -62,3 +67,20 @@
         return sum(event.kind is EventKind.REQUEST for event in history.events)
 
     assert asyncio.run(check()) > 60  # one at a time would allow ten in a second
+
+
+def test_a_process_that_exited_just_before_a_kill_is_recorded_as_exited(tmp_path: Path) -> None:
+    async def check() -> list[str]:
+        history = History()
+        discovery = StandInDiscovery("127.0.0.1", history)
+        await discovery.listen("f00")
+        forwarder = ForwarderUnderTest("f00", tmp_path, {}, discovery, history, None, 64, None, 1)
+        forwarder.process = subprocess.Popen([sys.executable, "-c", "raise SystemExit(3)"])
+        forwarder.process.wait()
+        restart = asyncio.create_task(forwarder.kill_and_restart())
+        await asyncio.sleep(0.1)
+        restart.cancel()
+        discovery.close()
+        return [event.detail for event in history.events]
+
+    assert asyncio.run(check())[:1] == ["exited 3"]
