Soak mutants: five defects of the pairing of responses; old ones quote today's lines

Change: five mutants with copies among their faults; three older mutants quote the lines as they are now.

--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -53,6 +53,9 @@
     faults: int = FAULTS
 
 
+COPY_FAULTS = (FaultKind.COPY, FaultKind.COPY, FaultKind.ENDPOINT_MODE)
+
+
 def _mutant(
     kinds: tuple[FaultKind, ...],
     *changes: tuple[str, str, str],
@@ -65,8 +68,8 @@
 GUARD_FILE = "message_guard.py"
 REMOVE_RETRY_GUARD = (
     GUARD_FILE,
-    "        spec = tracked.message_class\n        if tracked.ambiguous",
-    "        return None\n        spec = tracked.message_class\n        if tracked.ambiguous",
+    "        spec = tracked.message_class\n        if spec.idempotency",
+    "        return None\n        spec = tracked.message_class\n        if spec.idempotency",
 )
 REMOVE_ENDPOINT_GUARD = (
     GUARD_FILE,
@@ -176,7 +179,11 @@
     ),
     "Retry-After is ignored": _mutant(
         (FaultKind.ENDPOINT_MODE,),
-        ("policy/lifecycle.py", "state.now + event.retry_after_us", "state.now"),
+        (
+            "policy/lifecycle.py",
+            "    scope = call.endpoint.scope\n    scope.retry_after_until_us = max(scope.retry_after_until_us, state.now + event.retry_after_us)",
+            "    scope = call.endpoint.scope",
+        ),
         REMOVE_ENDPOINT_GUARD,
     ),
     "an attempt in flight at a kill is forgotten": _mutant(
@@ -221,7 +228,7 @@
         (FaultKind.ENDPOINT_MODE, FaultKind.LINK),
         (
             "node/http_call.py",
-            "elif not self.is_started or self._is_request_incomplete(connection):",
+            "elif not self.is_started or self.is_request_incomplete(connection):",
             "elif True:",
         ),
     ),
@@ -238,6 +245,43 @@
         ("policy/backoff.py", "        return -1\n", "        return latest\n"),
         REMOVE_RETRY_GUARD,
     ),
+    "each response is that of the call that is out": _mutant(
+        COPY_FAULTS,
+        ("node/response_pairing.py", "        return self.responses == 0\n", "        return True\n"),
+    ),
+    "a surplus response confirms what was read": _mutant(
+        COPY_FAULTS,
+        (
+            "node/http_connection.py",
+            "        self.pool.remove(self)\n        self._settle(verdict)\n",
+            "        self.pool.remove(self)\n        self._settle(Verdict.CONFIRMED)\n",
+        ),
+    ),
+    "non-idempotent messages reuse connections": _mutant(
+        COPY_FAULTS,
+        (
+            GUARD_FILE,
+            "        spec.idempotency is Idempotency.NON_IDEMPOTENT\n        or (spec.idempotency",
+            "        False\n        or (spec.idempotency",
+        ),
+        ("node/response_pairing.py", "        return self.responses == 0\n", "        return True\n"),
+    ),
+    "a failure on a reused connection is repeated at once": _mutant(
+        COPY_FAULTS,
+        (
+            "node/response_pairing.py",
+            "        return int(min(MAX_RETRY_HOLD_US, longest_us))\n",
+            "        return 0\n",
+        ),
+    ),
+    "copies of old items of the watch are applied": _mutant(
+        (FaultKind.COPY, FaultKind.REPLACE),
+        (
+            "node/discovery.py",
+            "is_news = self.newest_version is None or update.version > self.newest_version",
+            "is_news = True",
+        ),
+    ),
     "concurrent attempts that only the guard prevents": _mutant(
         ENDPOINT_FAULTS,
         (
