The end of a connection after a silence confirms what was read on it

Cause: any end of a connection refuted the outcomes of the last second. Change: a silence of the longest recent response time, 0.2 s at least, before the end of the connection confirms them: a true response would have come. A surplus still refutes them.

--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -151,18 +151,20 @@
 
     def confirm_by_silence(self) -> None:
         """Confirm the outcomes read on this connection if it has been silent for long enough."""
+        self._confirm_after(self.pool.reuse_policy.silence_us(self.target))
+
+    def _confirm_after(self, silence_us: int) -> None:
         is_response_incomplete = self.call is None and self.reader is not None
         if self._surplus or is_response_incomplete:
             return
-        silence_us = self.pool.reuse_policy.silence_us(self.target)
         for response in self.pairing.take_confirmed(self._now_us(), silence_us):
             response.verdict.callback(Verdict.CONFIRMED)
 
     def _settle(self, verdict: Verdict) -> None:
-        """Give a verdict on all outcomes read on this connection that silence has not confirmed."""
+        """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
         if not self.pairing.unconfirmed:
             return
-        self.confirm_by_silence()
+        self._confirm_after(self.pool.reuse_policy.silence_before_end_us(self.target))
         for response in self.pairing.take_unconfirmed():
             response.verdict.callback(verdict)
 
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -23,6 +23,7 @@
 MIN_SILENCE_US, MAX_SILENCE_US = 1_000_000, 5_000_000  # that confirms the outcomes of a connection
 SILENCE_PER_RESPONSE_TIME = 2  # the silence also lasts this many times the longest recent response time
 RESPONSE_TIME_DECAY = 0.95  # of the longest response time, at each shorter one
+MIN_SILENCE_BEFORE_END_US = 200_000
 MAX_RETRY_HOLD_US = 1_000_000
 MAX_UNCONFIRMED_OUTCOMES = 8  # of one connection; it carries no further request until they are confirmed
 MAX_UNCONFIRMED_US = 3_000_000  # for which a connection carries requests without a confirmation
@@ -128,6 +129,14 @@
         longest_us = evidence.longest_response_us if evidence is not None else 0.0
         return int(min(MAX_SILENCE_US, max(MIN_SILENCE_US, longest_us * SILENCE_PER_RESPONSE_TIME)))
 
+    def silence_before_end_us(self, target: str) -> int:
+        """Return the silence before the end of a connection that confirms its outcomes.
+
+        Endpoints end idle connections for reasons of their own, so this is shorter than the silence that
+        confirms the outcomes of an open connection.
+        """
+        return max(MIN_SILENCE_BEFORE_END_US, self.retry_hold_us(target))
+
     def retry_hold_us(self, target: str) -> int:
         """Return how long a call that failed on a reused connection is not repeated.
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -349,3 +349,16 @@
     connection.dataReceived(OK_RESPONSE)
     assert (calls.outcomes[-1].status, calls.outcomes[-1].not_run) == (Status.CONNECT_FAILED, True)
     assert connection.is_closed
+
+
+@pytest.mark.parametrize(("idle_s", "verdict"), [(0.1, Verdict.REFUTED), (0.3, Verdict.CONFIRMED)])
+def test_an_idle_connection_that_its_endpoint_ends_after_a_silence_confirms_its_outcomes(
+    idle_s: float, verdict: Verdict
+) -> None:
+    calls = CallBench()
+    connection = reuse_connection(calls)
+    connection.dataReceived(OK_RESPONSE)
+    verdicts = read_verdicts(calls)
+    calls.clock.advance(idle_s)
+    connection.connectionLost(Failure(twisted_error.ConnectionLost()))
+    assert verdicts == [verdict]
--- a/tests/test_response_pairing.py
+++ b/tests/test_response_pairing.py
@@ -17,6 +17,7 @@
     MAX_SUSPENSION_US,
     MAX_UNCONFIRMED_OUTCOMES,
     MAX_UNCONFIRMED_US,
+    MIN_SILENCE_BEFORE_END_US,
     MIN_SILENCE_US,
     ResponsePairing,
     ReusePolicy,
@@ -106,6 +107,8 @@
     assert policy.silence_us("a") == MIN_SILENCE_US and policy.retry_hold_us("a") == 0
     policy.record_response_time("a", 900_000)
     assert policy.silence_us("a") == 1_800_000 and policy.retry_hold_us("a") == 900_000
+    assert policy.silence_before_end_us("a") == 900_000
+    assert policy.silence_before_end_us("b") == MIN_SILENCE_BEFORE_END_US
     policy.record_response_time("a", 60_000_000)
     assert policy.silence_us("a") == MAX_SILENCE_US and policy.silence_us("b") == MIN_SILENCE_US
     for _ in range(200):
