A spoilt 200 is refuted instead of ambiguous; reuse is suspended for 5 s at first

Cause, by counts of why a call got a new connection: two forwarders of six closed each connection after use, since a spoilt 200 on a reused connection counted as a lost idle connection for the policy; three found reuse suspended for 30 s after one spoilt response. Change: such a 200 is delivered and refuted at once, so the policy sees a response and the message is sent again; the first suspension lasts 5 s, doubled each time. Soak: SIGHUP goes only to a process that handles it.

--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -161,11 +161,8 @@
             self.has_extended_timeout = True
             self.timer = self.pool.clock.callLater(0, self._on_timeout)
             return
-        status = (
-            connection.reader.status if connection is not None and connection.reader is not None else None
-        )
-        if connection is not None and connection.is_delivered_by_status_line(status):
-            connection.finish_call(AttemptOutcome(AttemptStatus.OK))
+        if connection is not None and connection.reader is not None and connection.reader.status == 200:
+            connection.finish_call(AttemptOutcome(AttemptStatus.OK))  # the status line alone is sufficient
             connection.close()
             return
         self._finish_without_response(connection, is_incomplete)
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -154,6 +154,7 @@
         self._confirm_after(self.pool.reuse_policy.silence_us(self.target))
 
     def _confirm_after(self, silence_us: int) -> None:
+        # A copy that is cut off is followed by the true response, so silence after it shows nothing.
         is_response_incomplete = self.call is None and self.reader is not None
         if self._surplus or is_response_incomplete:
             return
@@ -174,18 +175,11 @@
     def _on_invalid_response(self, event: http.InvalidResponse) -> None:
         remedy = "tell the target's owner: its responses are not valid HTTP/1.1 within the protocol's limits"
         self.pool.rate_limited_log.warn("invalid_response", f"{self.target}: {event.reason}", remedy)
-        if self.is_delivered_by_status_line(event.status):
+        if event.status == 200:
             self.finish_call(AttemptOutcome(AttemptStatus.OK))
         else:
             self.finish_call(self.classify_partial(AttemptStatus.RESET, f"invalid response: {event.reason}"))
 
-    def is_delivered_by_status_line(self, status: int | None) -> bool:
-        """Return whether an incomplete or invalid response still shows that the message was delivered.
-
-        A copy that is cut off is followed by the true response, so on a reused connection it shows nothing.
-        """
-        return status == 200 and self.pairing.is_next_certain
-
     def classify_partial(self, status: AttemptStatus, reason: str) -> AttemptOutcome:
         """Return the ambiguous outcome of a truncated response, with its Retry-After if the head arrived."""
         head = self.head
@@ -228,7 +222,7 @@
         for event in events:
             if isinstance(event, http.Complete) and head is not None:
                 self._finish_by_head(head)
-            elif isinstance(event, http.InvalidResponse) and self.is_delivered_by_status_line(event.status):
+            elif isinstance(event, http.InvalidResponse) and event.status == 200:
                 self.finish_call(AttemptOutcome(AttemptStatus.OK))
         call, self.call = self.call, None
         if call is not None:
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -27,7 +27,7 @@
 MAX_RETRY_HOLD_US = 1_000_000
 MAX_UNCONFIRMED_OUTCOMES = 8  # of one connection; it carries no further request until they are confirmed
 MAX_UNCONFIRMED_US = 3_000_000  # for which a connection carries requests without a confirmation
-FIRST_SUSPENSION_US, MAX_SUSPENSION_US = 30_000_000, 600_000_000  # of reuse, after a copy; doubled each time
+FIRST_SUSPENSION_US, MAX_SUSPENSION_US = 5_000_000, 600_000_000  # of reuse, after a copy; doubled each time
 MAX_SUSPENDED_ENDPOINTS = 3  # from this number on, the network copies: no connection is reused
 MAX_TRACKED_ENDPOINTS = 10_000
 
--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -117,9 +117,22 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
-        if self.process is not None and self.process.poll() is None:
-            self.history.add(EventKind.PROCESS, self.name, detail=number.name)
-            self.process.send_signal(number)
+        if self.process is None or self.process.poll() is not None:
+            return
+        if number is signal.SIGHUP and not self._handles(number):
+            return  # the interpreter has not run a line of the program yet, so the signal would end it
+        self.history.add(EventKind.PROCESS, self.name, detail=number.name)
+        self.process.send_signal(number)
+
+    def _handles(self, number: signal.Signals) -> bool:
+        """Return whether the process has installed a handler for a signal."""
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return False
+        mask = next((line for line in status.splitlines() if line.startswith("SigCgt:")), "SigCgt: 0")
+        return bool(int(mask.split()[1], 16) >> (number - 1) & 1)
 
     async def kill_and_restart(self, wall_step_s: float = 0.0) -> None:
         """Kill the process, step the wall clock and start the next process."""
