A request without a response refutes the delivery before it; a failed reused call ends its connection

A copied 200 was taken for its response while its endpoint hung; no surplus came, and 1 s of silence confirmed it. The next call on that connection timed out 1.4 s later. Cause: silence shows that no response is late, not that each request was answered. A copied 503 in the same place lets the call be repeated while the first is still out. Change: a server answers the requests of a connection in order, so a request that ends without a byte of a response refutes the outcome before it, also after its confirmation; the log records the message again, with its attempts and the start of the first ambiguous one. A connection on which a call has failed after its first one carries no more and is closed before the call may be repeated, 0.2 s to 1 s later. What stays: the hung endpoint's connection is not used again within the message's time.

--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from twisted.internet.defer import Deferred
-
 from honeybarrow.events import AttemptStatus
 from honeybarrow.mail import Phase, Reply
 
@@ -30,6 +29,24 @@
     REFUTED = "refuted"  # the response may belong to another request
 
 
+class PendingVerdict:
+    """The verdict on one outcome, reported to its listener; a confirmed outcome may be refuted later."""
+
+    def __init__(self) -> None:
+        self.current: Verdict | None = None
+        self._listener: Callable[[Verdict], object] = lambda verdict: None
+
+    def listen(self, listener: Callable[[Verdict], object]) -> None:
+        """Report each verdict to a listener."""
+        self._listener = listener
+
+    def give(self, verdict: Verdict) -> None:
+        """Give a verdict; a refutation is the last one."""
+        if self.current not in (verdict, Verdict.REFUTED):
+            self.current = verdict
+            self._listener(verdict)
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
     """The outcome of one attempt.
@@ -39,7 +56,7 @@
     ``no_slot_free`` is set if the attempt was not sent because this forwarder has no call slot free, by its
     own count or by the partner's. ``retry_hold_us`` is the time before which the message must not be sent
     again, because the attempt may still be out. ``connection`` is for logs only. ``verdict`` is set if the
-    outcome is unconfirmed; it fires once.
+    outcome is unconfirmed.
     """
 
     status: AttemptStatus
@@ -52,7 +69,7 @@
     no_slot_free: bool = False
     retry_hold_us: int = 0
     connection: ConnectionUse | None = field(default=None, compare=False, repr=False)
-    verdict: Deferred[Verdict] | None = field(default=None, compare=False, repr=False)
+    verdict: PendingVerdict | None = field(default=None, compare=False, repr=False)
 
 
 def classify_reply(reply: Reply, phase: Phase) -> AttemptOutcome:
--- a/honeybarrow/delivery/unconfirmed.py
+++ b/honeybarrow/delivery/unconfirmed.py
@@ -3,6 +3,8 @@
 A confirmed outcome is recorded in the message log. After a refuted delivery the message is resumed, like a
 message of an earlier process; after a refuted "not run" the attempt counts as one that may have run. Until
 the verdict the log has the attempt as unfinished, so that after a crash it counts as ambiguous too.
+
+A delivery that was confirmed by silence may be refuted later; the log then records its message again.
 """
 
 from __future__ import annotations
@@ -19,7 +21,7 @@
     from honeybarrow.delivery.attempts import InFlightMessage
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class UnconfirmedOutcome:
     """An outcome without a verdict; ``ends_message`` if the message was completed by it."""
 
@@ -29,6 +31,7 @@
     started_us: int
     outcome: AttemptOutcome
     ends_message: bool
+    is_confirmed: bool = False
 
 
 class UnconfirmedOutcomes:
@@ -55,17 +58,18 @@
         if verdict is None:
             return
         self.count += 1
-        verdict.addCallback(self._on_verdict, unconfirmed)
-        verdict.addErrback(lambda failure: self._context.log.error("verdict_failed", error=str(failure)))
+        verdict.listen(lambda given: self._on_verdict(given, unconfirmed))
 
     def _on_verdict(self, verdict: Verdict, unconfirmed: UnconfirmedOutcome) -> None:
-        self.count -= 1
+        is_first = not unconfirmed.is_confirmed
+        self.count -= is_first
+        unconfirmed.is_confirmed = verdict is Verdict.CONFIRMED
         if verdict is Verdict.CONFIRMED:
             self._record_confirmed(unconfirmed)
         elif unconfirmed.ends_message:
             self._log_refuted(unconfirmed, "resumed")
             self._resume(unconfirmed.message, unconfirmed.started_us)
-        else:
+        elif is_first:
             self._log_refuted(unconfirmed, "ambiguous")
             self._record_as_ambiguous(unconfirmed)
         self._schedule_commit()
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -128,7 +128,10 @@
         elif not self.is_started or self.is_request_incomplete(connection):
             self.finish(AttemptOutcome(AttemptStatus.CONNECT_FAILED, True, reason=reason))
         else:
-            self.record_reuse_result(is_lost=connection.reader is None or not connection.reader.has_started)
+            is_unread = connection.reader is None or not connection.reader.has_started
+            self.record_reuse_result(is_lost=is_unread)
+            if is_unread:
+                connection.refute_last()
             self.finish(connection.classify_partial(AttemptStatus.RESET, reason))
 
     def record_reuse_result(self, is_lost: bool) -> None:
@@ -182,6 +185,8 @@
             is_unread = connection is None or connection.reader is None or not connection.reader.has_started
             self.pool.record_timeout(self)
             self.record_reuse_result(is_lost=is_unread)
+            if is_unread and connection is not None:
+                connection.refute_last()
             reason = "no answer in time"
             partial = connection and connection.classify_partial(AttemptStatus.TIMEOUT, reason)
             self.finish(partial or AttemptOutcome(AttemptStatus.TIMEOUT, reason=reason))
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -5,13 +5,12 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from honeybarrow import http
-from honeybarrow.delivery.outcome import AttemptOutcome, Verdict
+from honeybarrow.delivery.outcome import AttemptOutcome, PendingVerdict, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
 from honeybarrow.node.http_outcome import classify_response
@@ -32,7 +31,7 @@
     """A response that may belong to another request than that of ``message``."""
 
     message: str
-    verdict: Deferred[Verdict]
+    verdict: PendingVerdict
 
 
 def _may_become_throttling(surplus: bytes) -> bool:
@@ -71,6 +70,8 @@
         self._request_written_at_s = 0.0
         self._is_response_premature = False  # it began before the end of its request was written
         self._surplus = b""
+        # Confirmed by silence alone: no later response shows that its request was answered at all.
+        self._last_confirmed: UnconfirmedResponse | None = None
 
     def connectionMade(self) -> None:
         """Start the pending call; called by Twisted."""
@@ -117,7 +118,10 @@
         if head is not None and head.status != 200:
             self._finish_by_head(head)
         if can_reuse and self.call is None and not self.is_closed and not self._is_response_premature:
-            self.pool.add_idle(self)
+            if self.pairing.is_failure_uncertain:
+                self.pool.retire_after_hold(self)
+            else:
+                self.pool.add_idle(self)
         elif reader is not None and reader.has_surplus:
             self._on_surplus(reader.take_surplus())
         elif self.pairing.unconfirmed:
@@ -159,7 +163,18 @@
         if self._surplus or is_response_incomplete:
             return
         for response in self.pairing.take_confirmed(self._now_us(), silence_us):
-            response.verdict.callback(Verdict.CONFIRMED)
+            response.verdict.give(Verdict.CONFIRMED)
+            self._last_confirmed = response
+
+    def refute_last(self) -> None:
+        """Refute the last outcome because the request after it had no response.
+
+        A server answers the requests of a connection in order. If the outcome was read from a copy, the
+        server may not have answered its request either.
+        """
+        last, self._last_confirmed = self._last_confirmed, None
+        if last is not None:
+            last.verdict.give(Verdict.REFUTED)
 
     def _settle(self, verdict: Verdict) -> None:
         """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
@@ -167,7 +182,7 @@
             return
         self._confirm_after(self.pool.reuse_policy.silence_before_end_us(self.target))
         for response in self.pairing.take_unconfirmed():
-            response.verdict.callback(verdict)
+            response.verdict.give(verdict)
 
     def _now_us(self) -> int:
         return int(self.pool.clock.seconds() * 1e6)
@@ -198,7 +213,7 @@
 
     def _pair(self, call: HttpCall, outcome: AttemptOutcome) -> AttemptOutcome:
         """Record the response to a call; return its outcome, with a verdict to come if it is uncertain."""
-        now_us = self._now_us()
+        now_us, self._last_confirmed = self._now_us(), None
         self.pool.reuse_policy.record_response_time(
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
@@ -208,7 +223,7 @@
         if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
             self.pairing.record_response(now_us, None, is_delivered)
             return outcome
-        response = UnconfirmedResponse(call.payload.message, Deferred())
+        response = UnconfirmedResponse(call.payload.message, PendingVerdict())
         self.pairing.record_response(now_us, response, is_delivered)
         self.pool.await_verdict(self)
         return replace(outcome, verdict=response.verdict)
--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -179,8 +179,7 @@
         while idle := self._idle_by_target.get(target):
             connection = idle[-1]
             connection.confirm_by_silence()
-            hold_us = self.reuse_policy.retry_hold_us(target)
-            if not connection.pairing.may_carry_request(int(now_s * 1e6), hold_us):
+            if not connection.pairing.may_carry_request(int(now_s * 1e6)):
                 return None
             age_us = int((now_s - connection.waiting_since_s) * 1e6)
             if age_us > self.keep_alive.max_idle_us(int(now_s * 1e6), idempotency):
@@ -250,6 +249,14 @@
         else:
             connection.close()
 
+    def retire_after_hold(self, connection: HttpConnection) -> None:
+        """Send nothing more on a connection, and close it before the call that failed on it is repeated."""
+        self.remove(connection)
+        connection.reader = connection.call = None
+        self._retired[connection] = None
+        hold_s = self.reuse_policy.retry_hold_us(connection.target) / 1e6
+        self.clock.callLater(hold_s, connection.close)
+
     def _confirm_by_silence(self) -> None:
         for connection in list(self._awaiting_verdict):
             connection.confirm_by_silence()
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -23,8 +23,7 @@
 MIN_SILENCE_US, MAX_SILENCE_US = 1_000_000, 5_000_000  # that confirms the outcomes of a connection
 SILENCE_PER_RESPONSE_TIME = 2  # the silence also lasts this many times the longest recent response time
 RESPONSE_TIME_DECAY = 0.95  # of the longest response time, at each shorter one
-MIN_SILENCE_BEFORE_END_US = 200_000
-MAX_RETRY_HOLD_US = 1_000_000
+MIN_RETRY_HOLD_US, MAX_RETRY_HOLD_US = 200_000, 1_000_000
 MAX_UNCONFIRMED_OUTCOMES = 8  # of one connection; it carries no further request until they are confirmed
 MAX_UNCONFIRMED_US = 3_000_000  # for which a connection carries requests without a confirmation
 FIRST_SUSPENSION_US, MAX_SUSPENSION_US = 5_000_000, 600_000_000  # of reuse, after a copy; doubled each time
@@ -53,7 +52,7 @@
         self.unconfirmed: list[Outcome] = []
         self._unconfirmed_since_us = 0
         self._last_input_us = 0
-        self._is_failure_uncertain = False  # since the last response, which may be that of an earlier request
+        self.is_failure_uncertain = False  # the last response may be that of an earlier request
 
     @property
     def is_next_certain(self) -> bool:
@@ -66,7 +65,7 @@
 
     def record_response(self, now_us: int, outcome: Outcome | None, is_delivered: bool) -> None:
         """Record the response to a request; ``outcome`` is given if it needs a confirmation."""
-        self._is_failure_uncertain = self.responses > 0 and not is_delivered
+        self.is_failure_uncertain = self.responses > 0 and not is_delivered
         self.responses += 1
         self._last_input_us = now_us
         if outcome is None:
@@ -86,13 +85,13 @@
         outcomes, self.unconfirmed = self.unconfirmed, []
         return outcomes
 
-    def may_carry_request(self, now_us: int, hold_us: int) -> bool:
+    def may_carry_request(self, now_us: int) -> bool:
         """Return whether the connection may carry another request.
 
-        Doubts stay few and short. After a failure the connection stays silent for ``hold_us``, so that the
-        true response to the failed call would show before the call is repeated.
+        Doubts stay few and short. A connection on which a call has failed carries no more: the call may still
+        be out, and the connection is closed before it is repeated.
         """
-        if self._is_failure_uncertain and now_us - self._last_input_us < hold_us:
+        if self.is_failure_uncertain:
             return False
         if not self.unconfirmed:
             return True
@@ -135,16 +134,16 @@
         Endpoints end idle connections for reasons of their own, so this is shorter than the silence that
         confirms the outcomes of an open connection.
         """
-        return max(MIN_SILENCE_BEFORE_END_US, self.retry_hold_us(target))
+        return self.retry_hold_us(target)
 
     def retry_hold_us(self, target: str) -> int:
         """Return how long a call that failed on a reused connection is not repeated.
 
-        If its response was a copy, the call is still out until its true response has come.
+        If its response was a copy, its true response comes meanwhile; then the connection is closed.
         """
         evidence = self._endpoints.get(target)
         longest_us = evidence.longest_response_us if evidence is not None else 0.0
-        return int(min(MAX_RETRY_HOLD_US, longest_us))
+        return int(min(MAX_RETRY_HOLD_US, max(MIN_RETRY_HOLD_US, longest_us)))
 
     def record_copy(self, target: str, now_us: int) -> None:
         """Record a response that no request accounts for: connections are not reused for a while."""
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -172,7 +172,7 @@
         """Append the acceptance of a message, unless it was resumed from this log."""
         if submission.message in self._segment_of_message:
             return
-        payload = submission.payload
+        payload, age_us = submission.payload, submission.ambiguous_age_us
         self._last_sequence_number += 1
         self.append(
             MessageAccepted(
@@ -183,6 +183,8 @@
                 submission.tenant,
                 payload.idempotency_key,
                 payload.body,
+                submission.attempts,
+                None if age_us is None else self.now_us() - age_us,
                 order_key=payload.order_key,
                 sequence_number=self._last_sequence_number,
             )
--- a/tests/test_refuted_outcomes.py
+++ b/tests/test_refuted_outcomes.py
@@ -185,3 +185,20 @@
     violations: list[Violation] = []
     MessageGuard(GUARD_SETTINGS, violations.append).on_outcome_refuted("unknown", 0)
     assert violations == []
+
+
+def test_a_delivery_refuted_after_its_confirmation_is_recorded_and_sent_again(
+    harness: ForwarderHarness,
+) -> None:
+    call = call_on_reused_connection(harness, "m1", left_ms=15_000)
+    call.write(OK)  # a copy; the endpoint hangs
+    harness.advance(2.0)
+    assert not is_pending(harness, "m1")
+    harness.submit("m2")
+    assert harness.read_call("m2") is call
+    harness.advance_until(lambda: harness.count_calls("m1") == 2)
+    pending = harness.process.write_ahead_log.pending_messages.by_id["m1"]
+    assert pending.attempt_count == 2 and pending.first_ambiguous_start_us() is not None
+    harness.read_call("m1").write(OK)
+    harness.advance_until(lambda: not is_pending(harness, "m1"), 5)
+    assert harness.receive_notifications() == []
--- a/tests/test_write_ahead_log.py
+++ b/tests/test_write_ahead_log.py
@@ -71,6 +71,7 @@
     """The attributes of a submission that the log reads."""
 
     class_name, destination, tenant = "note", 1, "t"
+    attempts, ambiguous_age_us = 0, None
 
     def __init__(self, message: str, body: bytes = b"body") -> None:
         self.message, self.payload = message, HttpPayload(message, "k", body, 10 * SECOND)
