A surplus refutes what silence has confirmed; silence and the end of a connection cost less

Change: outcomes are confirmed by a silence of the longest recent response time (0.3 to 5 s), and kept in memory until the next response on the connection, so that a later surplus still refutes them. The end of a connection without a surplus refutes only what was read within that time before it, and always a response whose rest has not come. What stays open by this: a copy followed by an unbroken chain of requests, each written before the true response to the one before it, and the end of the connection without a surplus byte.

--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -32,6 +32,7 @@
 
     message: str
     verdict: PendingVerdict
+    read_at_us: int
 
 
 def _may_become_throttling(surplus: bytes) -> bool:
@@ -70,8 +71,8 @@
         self._request_written_at_s = 0.0
         self._is_response_premature = False  # it began before the end of its request was written
         self._surplus = b""
-        # Confirmed by silence alone: no later response shows that its request was answered at all.
-        self._last_confirmed: UnconfirmedResponse | None = None
+        # Confirmed by silence alone; no later response shows that their requests were answered at all.
+        self._confirmed: list[UnconfirmedResponse] = []
 
     def connectionMade(self) -> None:
         """Start the pending call; called by Twisted."""
@@ -155,16 +156,24 @@
 
     def confirm_by_silence(self) -> None:
         """Confirm the outcomes read on this connection if it has been silent for long enough."""
-        self._confirm_after(self.pool.reuse_policy.silence_us(self.target))
-
-    def _confirm_after(self, silence_us: int) -> None:
-        # A copy that is cut off is followed by the true response, so silence after it shows nothing.
-        is_response_incomplete = self.call is None and self.reader is not None
-        if self._surplus or is_response_incomplete:
+        if self._surplus or self._is_response_incomplete():
             return
+        silence_us = self.pool.reuse_policy.silence_us(self.target)
         for response in self.pairing.take_confirmed(self._now_us(), silence_us):
             response.verdict.give(Verdict.CONFIRMED)
-            self._last_confirmed = response
+            self._confirmed.append(response)
+
+    def _is_response_incomplete(self) -> bool:
+        """Return whether a call has its outcome by the start of a response whose rest has not come.
+
+        A copy that is cut off is followed by the true response, so silence after it shows nothing.
+        """
+        return self.call is None and self.reader is not None
+
+    @property
+    def doubtful_messages(self) -> tuple[str, ...]:
+        """Messages whose outcomes a surplus response would refute."""
+        return tuple(each.message for each in (*self._confirmed, *self.pairing.unconfirmed))
 
     def refute_last(self) -> None:
         """Refute the last outcome because the request after it had no response.
@@ -172,17 +181,25 @@
         A server answers the requests of a connection in order. If the outcome was read from a copy, the
         server may not have answered its request either.
         """
-        last, self._last_confirmed = self._last_confirmed, None
-        if last is not None:
-            last.verdict.give(Verdict.REFUTED)
+        confirmed, self._confirmed = self._confirmed, []
+        if confirmed:
+            confirmed[-1].verdict.give(Verdict.REFUTED)
 
     def _settle(self, verdict: Verdict) -> None:
         """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
-        if not self.pairing.unconfirmed:
+        if self._surplus:
+            doubtful, self._confirmed = [*self._confirmed, *self.pairing.take_unconfirmed()], []
+            for response in doubtful:
+                response.verdict.give(Verdict.REFUTED)
             return
-        self._confirm_after(self.pool.reuse_policy.silence_before_end_us(self.target))
-        for response in self.pairing.take_unconfirmed():
-            response.verdict.give(verdict)
+        # Only a copy in the last response time can have left a true response outstanding, unless each request
+        # since was written before the true response to the one before it.
+        recent_us = self._now_us() - self.pool.reuse_policy.silence_before_end_us(self.target)
+        responses = self.pairing.take_unconfirmed()
+        if responses and self._is_response_incomplete():
+            responses.pop().verdict.give(Verdict.REFUTED)
+        for response in responses:
+            response.verdict.give(verdict if response.read_at_us > recent_us else Verdict.CONFIRMED)
 
     def _now_us(self) -> int:
         return int(self.pool.clock.seconds() * 1e6)
@@ -213,7 +230,7 @@
 
     def _pair(self, call: HttpCall, outcome: AttemptOutcome) -> AttemptOutcome:
         """Record the response to a call; return its outcome, with a verdict to come if it is uncertain."""
-        now_us, self._last_confirmed = self._now_us(), None
+        now_us, self._confirmed = self._now_us(), []
         self.pool.reuse_policy.record_response_time(
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
@@ -223,7 +240,7 @@
         if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
             self.pairing.record_response(now_us, None, is_delivered)
             return outcome
-        response = UnconfirmedResponse(call.payload.message, PendingVerdict())
+        response = UnconfirmedResponse(call.payload.message, PendingVerdict(), now_us)
         self.pairing.record_response(now_us, response, is_delivered)
         self.pool.await_verdict(self)
         return replace(outcome, verdict=response.verdict)
--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -123,7 +123,7 @@
                 connection.requests,
                 int((now_s - connection.connected_at_s) * 1e6),
                 read_status(data),
-                tuple(each.message for each in connection.pairing.unconfirmed),
+                connection.doubtful_messages,
             )
         )
 
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -20,8 +20,7 @@
 from honeybarrow.events import AttemptStatus
 from honeybarrow.settings import Idempotency
 
-MIN_SILENCE_US, MAX_SILENCE_US = 1_000_000, 5_000_000  # that confirms the outcomes of a connection
-SILENCE_PER_RESPONSE_TIME = 2  # the silence also lasts this many times the longest recent response time
+MIN_SILENCE_US, MAX_SILENCE_US = 300_000, 5_000_000  # that confirms the outcomes of a connection
 RESPONSE_TIME_DECAY = 0.95  # of the longest response time, at each shorter one
 MIN_RETRY_HOLD_US, MAX_RETRY_HOLD_US = 200_000, 1_000_000
 MAX_UNCONFIRMED_OUTCOMES = 8  # of one connection; it carries no further request until they are confirmed
@@ -126,7 +125,7 @@
         """Return the silence after which no response of this endpoint is still expected."""
         evidence = self._endpoints.get(target)
         longest_us = evidence.longest_response_us if evidence is not None else 0.0
-        return int(min(MAX_SILENCE_US, max(MIN_SILENCE_US, longest_us * SILENCE_PER_RESPONSE_TIME)))
+        return int(min(MAX_SILENCE_US, max(MIN_SILENCE_US, longest_us)))
 
     def silence_before_end_us(self, target: str) -> int:
         """Return the silence before the end of a connection that confirms its outcomes.
--- a/tests/test_refuted_outcomes.py
+++ b/tests/test_refuted_outcomes.py
@@ -112,6 +112,7 @@
 def test_a_shutdown_waits_for_verdicts(harness: ForwarderHarness) -> None:
     call_on_reused_connection(harness, "m1").write(OK)
     harness.advance_until(lambda: harness.process.forwarder.counters.delivered == 2)
+    harness.process.pool.reuse_policy.record_response_time("s1", 2_000_000)
     harness.process.handle_signal(SignalRequest.SHUT_DOWN)
     harness.advance(0.8)
     assert not harness.is_stopped and harness.process.forwarder.unconfirmed.count == 1
