A head that contains a status line is invalid: a cut copy no longer passes for a response

Cause: 'HTTP/1.1 200 O' and the true 'HTTP/1.1 503 Full' read as one response with a long reason phrase, complete and without surplus. Change: a status line within a head makes the response invalid; on a reused connection it is then refuted.

--- a/honeybarrow/http/client.py
+++ b/honeybarrow/http/client.py
@@ -17,6 +17,8 @@
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 MAX_CHUNK_LINE_BYTES = 256  # chunk size and extensions
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
+# Within a head it shows that the head was cut off and another response follows.
+_STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -271,6 +273,8 @@
         del buffer[: end + 4]
         if has_bare_line_feed(head):
             raise GrammarError("bare line feed")
+        if _STATUS_LINE_START.search(head, 1):
+            raise GrammarError("a status line within the head")
         return parse_fields(head.split(b"\r\n")[1:])
 
     def _begin_body(self, status: int, fields: dict[bytes, bytes], events: list[Event]) -> bool:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -318,7 +318,15 @@
     assert verdicts == [Verdict.CONFIRMED]
 
 
-@pytest.mark.parametrize("data", [b"HTTP/1.1 200 OK\r\nspoilt\r\n\r\n", b"HTTP/1.1 200 OK\r\nCont"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nspoilt\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nCont",
+        b"HTTP/1.1 200 O" + FULL_RESPONSE,  # a copy that is cut off, and the true response
+        b"HTTP/1.1 200 OK\r\nX-Backend-Load: {" + FULL_RESPONSE,
+    ],
+)
 def test_a_status_line_of_200_alone_is_refuted_on_a_reused_connection(data: bytes) -> None:
     calls = CallBench()
     connection = reuse_connection(calls)
