--- a/honeybarrow/policy/backoff.py
+++ b/honeybarrow/policy/backoff.py
@@ -10,11 +10,11 @@
 from honeybarrow.sender_state import NEVER, Message
 from honeybarrow.settings import Idempotency, MessageClass, UtilityDecay
 
-INITIAL_BACKOFF_US = 200_000
-BACKOFF_FACTOR = 1.6
-MAX_JITTER_US = 200_000  # spreads messages that were rejected together
-MAX_BACKOFF_US = 2_000_000
-MIN_RETRIES = 2  # lower bound of min_retries()
+INITIAL_BACKOFF_US = 200_000  # about what a busy destination needs to clear a call or two
+BACKOFF_FACTOR = 1.6  # five attempts take the delay to its maximum
+MAX_JITTER_US = 200_000  # as long as the first delay, so that messages rejected together come apart
+MAX_BACKOFF_US = 2_000_000  # a longer delay costs more utility than the calls that it spares
+MIN_RETRIES = 2  # lower bound of min_retries(), however little a late delivery is worth
 DEADLINE_MARGIN_US = 10_000  # kept free before deadlines and key windows, for timer resolution
 
 
--- a/honeybarrow/policy/rate_limit.py
+++ b/honeybarrow/policy/rate_limit.py
@@ -12,8 +12,10 @@
 from honeybarrow.settings import WeightSource
 
 RATE_INCREASE = 0.15  # calls per second added on each success
-MAX_RELATIVE_INCREASE = 0.2  # cap on that increase, relative to the rate
-RECOVERY_SHARE = 0.5  # increase on a success below the lower bound, relative to that bound
+# Cap on that increase, relative to the rate; at a small rate half of all calls would be rejected without it.
+MAX_RELATIVE_INCREASE = 0.2
+# Increase on a success below the lower bound, relative to that bound: two successes lead back to it.
+RECOVERY_SHARE = 0.5
 # Lowest upper bound of a rate, in calls per second. Below it a message would expire before its turn, and the
 # retry backoff limits the calls of the sender anyway.
 MIN_RATE_CEILING = SECOND / MAX_BACKOFF_US / 2
