--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -253,8 +253,8 @@
         COPY_FAULTS,
         (
             "node/http_connection.py",
-            "        self.pool.remove(self)\n        self._settle(verdict)\n",
-            "        self.pool.remove(self)\n        self._settle(Verdict.CONFIRMED)\n",
+            "                response.verdict.give(Verdict.REFUTED)\n            return\n",
+            "                response.verdict.give(Verdict.CONFIRMED)\n            return\n",
         ),
     ),
     "non-idempotent messages reuse connections": _mutant(
