The listener of a verdict is released once no other verdict follows

Cause: a verdict refers to its listener, that to the message, and the message's last outcome to the verdict: a cycle for each delivery on a reused connection, kept until a full garbage collection, which this process runs rarely (gc_tuning). Change: the listener is dropped at a refutation, with the next response and at the end of the connection; a timed-out call refutes the outcome before it ahead of its close. Result: test_a_message_is_freed_once_its_outcome_is_final (three ends, garbage collection off) fails without the release and passes; 98 tests of outcomes, calls and endings pass.

--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self.current: Verdict | None = None
-        self._listener: Callable[[Verdict], object] = lambda verdict: None
+        self._listener: Callable[[Verdict], object] | None = None
 
     def listen(self, listener: Callable[[Verdict], object]) -> None:
         """Report each verdict to a listener."""
@@ -42,9 +42,21 @@
 
     def give(self, verdict: Verdict) -> None:
         """Give a verdict; a refutation is the last one."""
-        if self.current not in (verdict, Verdict.REFUTED):
-            self.current = verdict
-            self._listener(verdict)
+        if self.current in (verdict, Verdict.REFUTED):
+            return
+        self.current, listener = verdict, self._listener
+        if verdict is Verdict.REFUTED:
+            self.release()
+        if listener is not None:
+            listener(verdict)
+
+    def release(self) -> None:
+        """Forget the listener, since no other verdict follows.
+
+        It refers to the message, whose last outcome refers to this verdict. The cycle would keep both in
+        memory until a full garbage collection.
+        """
+        self._listener = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -128,12 +128,16 @@
         elif not self.is_started or self.is_request_incomplete(connection):
             self.finish(AttemptOutcome(AttemptStatus.CONNECT_FAILED, True, reason=reason))
         else:
-            is_unread = connection.reader is None or not connection.reader.has_started
-            self.record_reuse_result(is_lost=is_unread)
-            if is_unread:
+            has_no_response = self._has_no_response(connection)
+            self.record_reuse_result(is_lost=has_no_response)
+            if has_no_response:
                 connection.refute_last()
             self.finish(connection.classify_partial(AttemptStatus.RESET, reason))
 
+    @staticmethod
+    def _has_no_response(connection: HttpConnection) -> bool:
+        return connection.reader is None or not connection.reader.has_started
+
     def record_reuse_result(self, is_lost: bool) -> None:
         """Report to the keep-alive policy whether the connection was lost before any response byte."""
         self.pool.keep_alive.record_call(int(self.pool.clock.seconds() * 1e6), self.idle_us, is_lost)
@@ -174,6 +178,8 @@
         """Finish a timed-out call and close its connection."""
         if connection is not None:
             connection.call = None
+            if self.is_started and not is_incomplete and self._has_no_response(connection):
+                connection.refute_last()
             connection.close()  # a late response would be taken for the response to the next call
         if not self.is_started:
             if self.connector is not None:
@@ -182,11 +188,8 @@
         elif is_incomplete:
             self.finish(AttemptOutcome(AttemptStatus.TIMEOUT, True, reason="not written in time"))
         else:
-            is_unread = connection is None or connection.reader is None or not connection.reader.has_started
             self.pool.record_timeout(self)
-            self.record_reuse_result(is_lost=is_unread)
-            if is_unread and connection is not None:
-                connection.refute_last()
+            self.record_reuse_result(is_lost=connection is None or self._has_no_response(connection))
             reason = "no answer in time"
             partial = connection and connection.classify_partial(AttemptStatus.TIMEOUT, reason)
             self.finish(partial or AttemptOutcome(AttemptStatus.TIMEOUT, reason=reason))
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -181,9 +181,15 @@
         A server answers the requests of a connection in order. If the outcome was read from a copy, the
         server may not have answered its request either.
         """
-        confirmed, self._confirmed = self._confirmed, []
-        if confirmed:
-            confirmed[-1].verdict.give(Verdict.REFUTED)
+        if self._confirmed:
+            self._confirmed.pop().verdict.give(Verdict.REFUTED)
+        self._release_confirmed()
+
+    def _release_confirmed(self) -> None:
+        """Make the outcomes final that silence has confirmed."""
+        for response in self._confirmed:
+            response.verdict.release()
+        self._confirmed.clear()
 
     def _settle(self, verdict: Verdict) -> None:
         """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
@@ -200,6 +206,8 @@
             responses.pop().verdict.give(Verdict.REFUTED)
         for response in responses:
             response.verdict.give(verdict if response.read_at_us > recent_us else Verdict.CONFIRMED)
+        self._confirmed += responses
+        self._release_confirmed()
 
     def _now_us(self) -> int:
         return int(self.pool.clock.seconds() * 1e6)
@@ -230,7 +238,8 @@
 
     def _pair(self, call: HttpCall, outcome: AttemptOutcome) -> AttemptOutcome:
         """Record the response to a call; return its outcome, with a verdict to come if it is uncertain."""
-        now_us, self._confirmed = self._now_us(), []
+        now_us = self._now_us()
+        self._release_confirmed()
         self.pool.reuse_policy.record_response_time(
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
--- a/tests/test_refuted_outcomes.py
+++ b/tests/test_refuted_outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -14,6 +15,7 @@
     Violation,
 )
 from honeybarrow.message_state import MessageState
+from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.signals import SignalRequest
 from tests.forwarder_harness import ForwarderHarness, PeerConnection
 from tests.guard_search import SETTINGS as GUARD_SETTINGS
@@ -203,3 +205,32 @@
     harness.read_call("m1").write(OK)
     harness.advance_until(lambda: not is_pending(harness, "m1"), 5)
     assert harness.receive_notifications() == []
+
+
+def count_payloads(message: str) -> int:
+    return sum(isinstance(each, HttpPayload) and each.message == message for each in gc.get_objects())
+
+
+# Guards against: reference cycles that keep each message in memory until a full garbage collection.
+@pytest.mark.parametrize("end", ["next response", "endpoint closes", "refuted"])
+def test_a_message_is_freed_once_its_outcome_is_final(harness: ForwarderHarness, end: str) -> None:
+    name = f"freed-by-{end.split()[0]}"
+    gc.disable()
+    try:
+        call = call_on_reused_connection(harness, name)
+        call.write(OK)
+        harness.advance(2.0)
+        assert count_payloads(name) == 1  # a later surplus could still refute the delivery
+        if end == "next response":
+            harness.submit("m2")
+            harness.read_call("m2").write(OK)
+        elif end == "endpoint closes":
+            call.close()
+        else:
+            call.write(FULL)
+            harness.advance_until(lambda: harness.count_calls(name) == 2)
+            harness.read_call(name).write(OK)
+        harness.advance(2.0)
+        assert count_payloads(name) == 0
+    finally:
+        gc.enable()
