A start survives an epoll_ctl that fails for the reactor's own waker

Cause, by a test with an epoll whose first register fails: EPollReactor.__init__ registers the waker, and ResilientReactor set _pending_watches only after it, so the failure raised AttributeError. With nothing registered yet, doPoll then raised ValueError (maxevents must be greater than 0).

--- a/honeybarrow/resilient_reactor.py
+++ b/honeybarrow/resilient_reactor.py
@@ -25,9 +25,19 @@
     seconds = staticmethod(time.monotonic)
 
     def __init__(self) -> None:
-        super().__init__()
+        # Set first, since the base class registers the waker, which may fail.
         self._pending_watches: dict[Any, Callable[[], object]] = {}  # by selectable and direction
         self._is_retry_scheduled = False
+        super().__init__()
+
+    def doPoll(self, timeout: float | None) -> None:  # noqa: N802
+        """Wait for events; without a registered descriptor, which epoll does not allow, just wait."""
+        if self._selectables:
+            super().doPoll(timeout)
+        else:
+            time.sleep(WATCH_RETRY_DELAY_S if timeout is None else min(timeout, WATCH_RETRY_DELAY_S))
+
+    doIteration = doPoll  # noqa: N815
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
         """Listen on a TCP port."""
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -8,13 +8,17 @@
 import asyncio
 import errno
 import os
+import select
 import signal
 import time
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import pytest
+from twisted.internet import epollreactor
 
+from honeybarrow.resilient_reactor import ResilientReactor
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
 from tests.platform_harness import PlatformHarness
 from tests.test_clock_steps import RESULT_SLACK_S, has_final_result, run_with_faults
@@ -216,3 +220,31 @@
         await starting
 
     run_with_faults(tmp_path, scenario)
+
+
+# Guards against: a start ends because the reactor's own waker can't be registered at that moment.
+def test_a_reactor_is_created_although_its_waker_can_not_be_registered_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    class FailingOnce:
+        def __init__(self, *_: object) -> None:
+            self.poller = select.epoll()
+            self.failures_left = 1
+
+        def register(self, descriptor: int, mask: int) -> None:
+            self.failures_left -= 1
+            if self.failures_left >= 0:
+                raise OSError(errno.ENOMEM, "no memory")
+            self.poller.register(descriptor, mask)
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self.poller, name)
+
+    monkeypatch.setattr(epollreactor, "epoll", FailingOnce)
+    reactor: Any = ResilientReactor()
+    called: list[str] = []
+    reactor.callLater(0.1, reactor.callFromThread, called.append, "later")
+    deadline_s = time.monotonic() + 2.0
+    while not called and time.monotonic() < deadline_s:
+        reactor.iterate(0.05)
+    assert called == ["later"] and reactor.waker in reactor.getReaders()
