Known red: a copied 200 of an endpoint that hangs, on a connection that rests

Cause: silence confirms an outcome; nothing on the connection tells a copy whose true response never comes. Check and bound are the rule's. Not mended: it needs a sign that is not on the connection, or no reuse at all.

--- a/tests/test_refuted_outcomes.py
+++ b/tests/test_refuted_outcomes.py
@@ -234,3 +234,12 @@
         assert count_payloads(name) == 0
     finally:
         gc.enable()
+
+
+# Guards against: a copied 200 of an endpoint that hangs loses its message if its connection rests.
+def test_a_copied_delivery_of_an_endpoint_that_hangs_gets_a_final_result(harness: ForwarderHarness) -> None:
+    call = call_on_reused_connection(harness, "m1", left_ms=4000)
+    call.write(OK)  # a copy; no true response ever comes
+    harness.advance(4.3)
+    is_notified = [each["message"] for each in harness.receive_notifications()] == ["m1"]
+    assert is_notified or harness.count_calls("m1") > 1
