--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -256,6 +256,8 @@
             "                response.verdict.give(Verdict.REFUTED)\n            return\n",
             "                response.verdict.give(Verdict.CONFIRMED)\n            return\n",
         ),
+        forwarders=4,
+        faults=100,
     ),
     "non-idempotent messages reuse connections": _mutant(
         COPY_FAULTS,
@@ -278,6 +280,8 @@
             "        self.clock.callLater(hold_s, connection.close)\n",
             "        self.clock.callLater(hold_s + 5.0, connection.close)\n",
         ),
+        forwarders=4,
+        faults=100,
     ),
     "copies of old items of the watch are applied": _mutant(
         (FaultKind.COPY, FaultKind.REPLACE),
