--- a/honeybarrow/policy/endpoint_health.py
+++ b/honeybarrow/policy/endpoint_health.py
@@ -48,9 +48,7 @@
 
 def response_timeout_us(endpoint: EndpointRecord) -> int:
     """Return the time after which a call without a response counts as lost."""
-    # Longer during warm-up: calls that are cut off too early never get the answers that would show that the
-    # destination is back, and it is taken for silent again. But with a long timeout each lost call is a late
-    # delivery.
+    # Longer during warm-up, when slow answers would otherwise count as losses.
     usual = max(MIN_RESPONSE_TIMEOUT_US, RESPONSE_TIMEOUT_MULTIPLE * endpoint.latency_us)
     return int(usual * latency_multiple(endpoint))
 
@@ -150,7 +148,6 @@
         SLOW_CONNECT_BACKOFF_MULTIPLE * silent_us,
     )
     # From the next call that the rate limiter permits, since it is the same for senders rejected together.
-    # The spread delays calls without need where calls are lost one by one.
     permitted_us = max(opens_us, scope.limiter.next_send_us() if is_large_fleet else 0)
     wait_us, opens_us = max(wait_us, permitted_us - opens_us), permitted_us
     wait_s = wait_us * (is_large_fleet / SECOND)
@@ -172,10 +169,8 @@
     start = settings.start_capacity
     capacity = min(1.0, start + (1.0 - start) * warm_us / max(1, settings.warm_up_us))
     rate = RECOVERY_MARGIN * settings.collapse_multiple * capacity * share
-    # Senders with the same Retry-After would all call at its end, so each keeps to its share of the budget.
     # Capped by the age of the outage, since the share of one of many senders may be less than one call in the
-    # lifetime of a message. The messages held are those that arrived in the outage, so one call of each
-    # sender in a multiple of its age is safe.
+    # lifetime of a message.
     max_by_age_us = max(MAX_BACKOFF_US, OUTAGE_AGE_MULTIPLE * (state.now - endpoint.outage_since_us))
     high_us = min(max_by_age_us, HEALTH_CHECK_INTERVAL_US[1] * max(2, settings.senders))
     low_us = 0 if is_slow_start else HEALTH_CHECK_INTERVAL_US[0]
@@ -186,8 +181,6 @@
     """Request that idle connections be closed unless the next call is expected before the idle timeout.
 
     They are also closed where they fill a small connection table, or may have been dropped without notice.
-    Idle connections of many senders would keep others out, and a call on a dropped one is lost, which ends a
-    non-idempotent message. Each close costs a later call its handshake.
     """
     destination = endpoint.destination
     demand = measure_demand(destination, state.now, 0.0)
