Logs of a refutation name its evidence; attempt_failed names the response status

Change: Evidence (surplus, cut, no response, end of the connection) goes with each refutation into outcome_refuted and the status line (refuted_by); redelivered counts refuted deliveries whose repeat was answered as delivered; attempt_failed has response_status, also of a response whose rest did not arrive.

--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -253,8 +253,8 @@
         COPY_FAULTS,
         (
             "node/http_connection.py",
-            "                response.verdict.give(Verdict.REFUTED)\n            return\n",
-            "                response.verdict.give(Verdict.CONFIRMED)\n            return\n",
+            "                response.verdict.refute(Evidence.SURPLUS_RESPONSE)\n            return\n",
+            "                response.verdict.confirm()\n            return\n",
         ),
         forwarders=4,
         faults=100,
--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -222,6 +222,7 @@
             reason=outcome.reason,
             connection=outcome.connection.number if outcome.connection else None,
             connection_requests=outcome.connection.requests if outcome.connection else None,
+            response_status=outcome.connection.response_status if outcome.connection else None,
             elapsed_us=elapsed_us,
             state_before=state_before.value,
             state_after=message.state.value,
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -380,7 +380,11 @@
             ambiguous_age_us=now_us - (message.ambiguous_since_us or started_us),
         )
         result = self.submit(resumed)
-        result.addCallback(lambda final: self.on_redelivered(submission.message, final))
+        result.addCallback(lambda final: self._on_resumed_result(submission.message, final))
+
+    def _on_resumed_result(self, message_id: str, result: DeliveryResult) -> None:
+        self.unconfirmed.redelivered_count += isinstance(result, Delivered)
+        self.on_redelivered(message_id, result)
 
     def _complete(self, message: InFlightMessage, result: DeliveryResult) -> None:
         """Deliver the final result of a message. All results pass through this method."""
--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -16,10 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionUse:
-    """The connection of an attempt: its number in the process, and how many requests it has carried."""
+    """The connection of an attempt: its number in the process, and how many requests it has carried.
+
+    ``response_status`` is the status that was read, also if the rest of the response did not arrive.
+    """
 
     number: int
     requests: int
+    response_status: int | None = None
 
 
 class Verdict(enum.Enum):
@@ -29,19 +33,38 @@
     REFUTED = "refuted"  # the response may belong to another request
 
 
+class Evidence(enum.Enum):
+    """What refutes an outcome."""
+
+    SURPLUS_RESPONSE = "surplus_response"  # more responses than requests on its connection
+    CUT_RESPONSE = "cut_response"  # only a part of it arrived
+    NO_RESPONSE = "no_response"  # to the request after it on its connection
+    CONNECTION_END = "connection_end"  # soon after it
+
+
 class PendingVerdict:
     """The verdict on one outcome, reported to its listener; a confirmed outcome may be refuted later."""
 
     def __init__(self) -> None:
         self.current: Verdict | None = None
+        self.evidence: Evidence | None = None  # set once the outcome is refuted
         self._listener: Callable[[Verdict], object] | None = None
 
     def listen(self, listener: Callable[[Verdict], object]) -> None:
         """Report each verdict to a listener."""
         self._listener = listener
 
-    def give(self, verdict: Verdict) -> None:
-        """Give a verdict; a refutation is the last one."""
+    def confirm(self) -> None:
+        """Confirm the outcome."""
+        self._give(Verdict.CONFIRMED)
+
+    def refute(self, evidence: Evidence) -> None:
+        """Refute the outcome; no other verdict follows."""
+        if self.current is not Verdict.REFUTED:
+            self.evidence = evidence
+        self._give(Verdict.REFUTED)
+
+    def _give(self, verdict: Verdict) -> None:
         if self.current in (verdict, Verdict.REFUTED):
             return
         self.current, listener = verdict, self._listener
--- a/honeybarrow/delivery/unconfirmed.py
+++ b/honeybarrow/delivery/unconfirmed.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -49,7 +50,8 @@
     ) -> None:
         self._context, self._queue_event, self._resume = context, queue_event, resume
         self.count = 0  # outcomes without a verdict
-        self.refuted_count = 0
+        self.refuted_counts: Counter[str] = Counter()  # by evidence
+        self.redelivered_count = 0  # refuted deliveries whose repeat was answered as delivered
         self._is_commit_scheduled = False
 
     def add(self, unconfirmed: UnconfirmedOutcome) -> None:
@@ -95,14 +97,16 @@
         self._queue_event(OutcomeRefuted(message_id, context.now_us() - unconfirmed.started_us))
 
     def _log_refuted(self, unconfirmed: UnconfirmedOutcome, decision: str) -> None:
-        self.refuted_count += 1
-        message = unconfirmed.message
+        message, verdict = unconfirmed.message, unconfirmed.outcome.verdict
+        evidence = verdict.evidence.value if verdict is not None and verdict.evidence is not None else ""
+        self.refuted_counts[evidence] += 1
         self._context.log.warning(
             "outcome_refuted",
             message=message.submission.message,
             attempt=unconfirmed.attempt,
             target=unconfirmed.target,
             status=unconfirmed.outcome.status.value,
+            evidence=evidence,
             decision=decision,
             time_left_us=message.time_left_us(self._context.now_us()),
         )
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -100,13 +100,13 @@
 
     def _log_status(self) -> None:
         self.clock.callLater(STATUS_INTERVAL_S, self._log_status)
-        counts = self.forwarder.counters
+        counts, unconfirmed = self.forwarder.counters, self.forwarder.unconfirmed
         log.info(
             "status lag_ms=%d open_messages=%d calls=%d client_connections=%d idle_connections=%d "
             "connects=%d pending_notifications=%d log_bytes=%d rss_kb=%d accepted=%d rejected=%d "
             "delivered=%d refused=%d failed=%d bad_requests=%d evictions=%s rejections=%s outcomes=%s "
             "guard_violations=%s waiting_records=%d surplus_responses=%s "
-            "unconfirmed=%d refuted=%d",
+            "unconfirmed=%d refuted=%d refuted_by=%s redelivered=%d",
             self._max_lag_s * 1000, self.forwarder.open_count, self.forwarder.calls_in_flight,
             len(self.front.connections),
             self.pool.idle_count, self.pool.connects_started, len(self.notifications.unacknowledged),
@@ -115,7 +115,8 @@
             self.front.bad_request_count, self.front.eviction_counts, self.submissions.rejection_counts,
             counts.outcomes, {rule.value: n for rule, n in self.forwarder.guard.violation_counts.items()},
             self.write_ahead_log.waiting_record_count, dict(self.surplus_responses.counts),
-            self.forwarder.unconfirmed.count, self.forwarder.unconfirmed.refuted_count,
+            unconfirmed.count, unconfirmed.refuted_counts.total(), dict(unconfirmed.refuted_counts),
+            unconfirmed.redelivered_count,
         )  # fmt: skip
         self._max_lag_s = 0.0
 
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -210,4 +210,5 @@
         connection = self.connection
         if connection is None or outcome.status is AttemptStatus.OK:
             return outcome
-        return replace(outcome, connection=ConnectionUse(connection.number, connection.requests))
+        use = ConnectionUse(connection.number, connection.requests, connection.response_status)
+        return replace(outcome, connection=use)
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from honeybarrow import http
-from honeybarrow.delivery.outcome import AttemptOutcome, PendingVerdict, Verdict
+from honeybarrow.delivery.outcome import AttemptOutcome, Evidence, PendingVerdict, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
 from honeybarrow.node.http_outcome import classify_response
@@ -160,7 +160,7 @@
             return
         silence_us = self.pool.reuse_policy.silence_us(self.target)
         for response in self.pairing.take_confirmed(self._now_us(), silence_us):
-            response.verdict.give(Verdict.CONFIRMED)
+            response.verdict.confirm()
             self._confirmed.append(response)
 
     def _is_response_incomplete(self) -> bool:
@@ -170,6 +170,13 @@
         """
         return self.call is None and self.reader is not None
 
+    @property
+    def response_status(self) -> int | None:
+        """Status of the response to the last request, as soon as its status line has arrived."""
+        if self.reader is not None:
+            return self.reader.status
+        return self.head.status if self.head is not None else None
+
     @property
     def doubtful_messages(self) -> tuple[str, ...]:
         """Messages whose outcomes a surplus response would refute."""
@@ -182,7 +189,7 @@
         server may not have answered its request either.
         """
         if self._confirmed:
-            self._confirmed.pop().verdict.give(Verdict.REFUTED)
+            self._confirmed.pop().verdict.refute(Evidence.NO_RESPONSE)
         self._release_confirmed()
 
     def _release_confirmed(self) -> None:
@@ -196,16 +203,19 @@
         if self._surplus:
             doubtful, self._confirmed = [*self._confirmed, *self.pairing.take_unconfirmed()], []
             for response in doubtful:
-                response.verdict.give(Verdict.REFUTED)
+                response.verdict.refute(Evidence.SURPLUS_RESPONSE)
             return
         # Only a copy in the last response time can have left a true response outstanding, unless each request
         # since was written before the true response to the one before it.
         recent_us = self._now_us() - self.pool.reuse_policy.silence_before_end_us(self.target)
         responses = self.pairing.take_unconfirmed()
         if responses and self._is_response_incomplete():
-            responses.pop().verdict.give(Verdict.REFUTED)
+            responses.pop().verdict.refute(Evidence.CUT_RESPONSE)
         for response in responses:
-            response.verdict.give(verdict if response.read_at_us > recent_us else Verdict.CONFIRMED)
+            if verdict is Verdict.REFUTED and response.read_at_us > recent_us:
+                response.verdict.refute(Evidence.CONNECTION_END)
+            else:
+                response.verdict.confirm()
         self._confirmed += responses
         self._release_confirmed()
 
