Soak: endpoints answer 410 and 504 and keep account of messages; failing reproduction

Change: soak/message_account keeps which messages are over (withdrawn, out of time) or have no attempt left, shared by all endpoints; endpoints answer 410 and 504, and reset, close, cut (CUT_CLOSE, CUT_SILENT) and spoilt responses fall on these too; KILL_AFTER_END kills a process soon after an end was told. Rule: no call once an endpoint has written 410 or 504, over restarts; excused only if the process ended within 50 ms of the response, which it may not have read. end_share is 0 by default until the faults are mended; test_run_without_faults sets it so, since it counts deliveries. In process: reset, close or surplus behind a 410 on a reused connection gives 2 to 4 calls.

--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -13,6 +13,7 @@
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.http_messages import HttpMessage, HttpMessageReader
 from honeybarrow.soak.link import Impairment, LinkCondition, LinkConnection
+from honeybarrow.soak.message_account import GONE_STATUS, MessageAccount
 
 MIN_LATENCY_S, MAX_LATENCY_S = 0.01, 0.12
 MAX_ACTIVE_CALLS = 60  # per endpoint; further calls get 503
@@ -21,6 +22,10 @@
 OVERLOADED_RESPONSE = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
 ERROR_RESPONSE = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
 MALFORMED_RESPONSE = b"HTTP/1.1 2\x00\xff garbage\n\n"
+GONE_RESPONSE = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
+EXHAUSTED_RESPONSE = b"HTTP/1.1 504 No attempt left\r\nContent-Length: 0\r\n\r\n"
+MAX_END_LATENCY_S = 0.002  # of a response to a message that is over
+DELAYS_BEFORE_CLOSE_S = (0.0, 0.005, 0.03, 0.06, 0.2)  # after such a response
 
 
 class EndpointMode(enum.StrEnum):
@@ -34,6 +39,8 @@
     RESET = "reset"  # resets the connection after processing has begun
     MALFORMED = "malformed"  # answers with bytes that are not HTTP
     CLOSE_IDLE = "close_idle"  # answers 200, then closes the connection
+    CUT_CLOSE = "cut_close"  # answers only the status line, then closes the connection
+    CUT_SILENT = "cut_silent"  # answers only the status line
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -48,6 +55,10 @@
 _SILENCE = Impairment(is_silent=True)
 
 
+def _status_line(response: bytes) -> bytes:
+    return response.partition(b"\r\n")[0] + b"\r\n"
+
+
 class _EndpointConnection(LinkConnection):
     """Connection from a forwarder to an endpoint."""
 
@@ -113,9 +124,18 @@
     :attr:`links` and :attr:`ports` hold the link condition and the port for each forwarder.
     """
 
-    def __init__(self, name: str, destination: int, host: str, history: History, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        destination: int,
+        host: str,
+        history: History,
+        rng: random.Random,
+        account: MessageAccount | None = None,
+    ) -> None:
         self.name, self.destination, self.host = name, destination, host
         self.history, self._rng = history, rng
+        self.account = account or MessageAccount(history, 0, 0.0)
         self._modes: list[ActiveMode] = []
         self._outages = 0  # crashes and failures of the network that have not ended
         self.links: dict[str, LinkCondition] = {}
@@ -220,6 +240,14 @@
     def on_call(self, connection: _EndpointConnection, call: HttpMessage) -> None:
         """Process a complete call and answer it after a random latency."""
         mode = self.draw_mode()
+        message = call.fields.get("x-correlation-id", "")
+        self.account.record_call(message)
+        if end_status := self.account.end_status(message):
+            latency_s = self._rng.uniform(0.0, MAX_END_LATENCY_S)
+            asyncio.get_running_loop().call_later(
+                latency_s, self._answer_end, connection, call, mode, end_status
+            )
+            return
         if self.active_calls >= MAX_ACTIVE_CALLS:
             mode = EndpointMode.OVERLOADED
         self.active_calls += 1
@@ -241,6 +269,32 @@
             return
         self._answer(connection, call, mode)
 
+    def _answer_end(
+        self, connection: _EndpointConnection, call: HttpMessage, mode: EndpointMode, status: str
+    ) -> None:
+        """Tell that a message is over or has no attempt left; the connection then fails as the mode says."""
+        if connection.is_lost or call not in connection.open_calls or mode is EndpointMode.HANG:
+            return
+        data = GONE_RESPONSE if status == GONE_STATUS else EXHAUSTED_RESPONSE
+        if mode in (EndpointMode.CUT_CLOSE, EndpointMode.CUT_SILENT):
+            data = _status_line(data)
+        elif mode is EndpointMode.MALFORMED:
+            data = _status_line(data) + b"spoilt\r\n\r\n"
+        is_reset = self._rng.random() < connection.condition.reset_probability
+        is_closed = mode in (EndpointMode.CLOSE_IDLE, EndpointMode.CUT_CLOSE)
+        delay_s = self._rng.choice(DELAYS_BEFORE_CLOSE_S)
+
+        def on_written(written_s: float) -> None:
+            self._record(connection, call, EventKind.CALL_ANSWERED, status, 0.0, written_s)
+            self.account.record_end(connection.forwarder)
+            if mode is EndpointMode.RESET or is_reset:
+                asyncio.get_running_loop().call_later(delay_s, connection.reset)
+            elif is_closed:
+                asyncio.get_running_loop().call_later(delay_s, connection.close)
+            connection.on_processed()
+
+        connection.send(data, on_written)
+
     def _answer(self, connection: _EndpointConnection, call: HttpMessage, mode: EndpointMode) -> None:
         data, status, retry_after_s = OK_RESPONSE, "200", 0.0
         if mode is EndpointMode.OVERLOADED:
@@ -253,11 +307,15 @@
             data, status = ERROR_RESPONSE, "500"
         elif mode is EndpointMode.MALFORMED:
             data, status = MALFORMED_RESPONSE, "malformed"
+        elif mode in (EndpointMode.CUT_CLOSE, EndpointMode.CUT_SILENT):
+            data = _status_line(data)
+        if status == "200":
+            self.account.record_delivered(call.fields.get("x-correlation-id", ""))
 
         def on_written(written_s: float) -> None:
             self._record(connection, call, EventKind.CALL_ANSWERED, status, retry_after_s, written_s)
             is_half_closing = self._rng.random() < connection.condition.half_close_probability
-            if mode is EndpointMode.CLOSE_IDLE:
+            if mode in (EndpointMode.CLOSE_IDLE, EndpointMode.CUT_CLOSE):
                 connection.close()
             elif is_half_closing:
                 connection.half_close()
--- a/honeybarrow/soak/plan.py
+++ b/honeybarrow/soak/plan.py
@@ -18,6 +18,7 @@
 
     TERMINATE = "terminate"  # SIGTERM, SIGKILL 3.7 s later, restart
     KILL = "kill"
+    KILL_AFTER_END = "kill_after_end"  # soon after an endpoint has told that a message is over
     RELOAD = "reload"  # SIGHUP with another discovery address
     SIGNALS = "signals"  # SIGHUP, SIGSTOP with SIGCONT, and SIGTERM in close succession
     PAUSE = "pause"  # repeated SIGSTOP with SIGCONT up to 0.15 s later
@@ -80,6 +81,7 @@
     rate_per_s: float = 6.0  # requests per second to each forwarder
     faults: int = 60
     descriptors: int = 256  # limit of open sockets of each forwarder
+    end_share: float = 0.0  # share of the messages that are withdrawn or have no attempt left
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
 
 
@@ -107,6 +109,7 @@
     FaultKind.ENDPOINT_MODE: 3.0,
     FaultKind.LINK: 2.0,
     FaultKind.COPY: 3.0,
+    FaultKind.KILL_AFTER_END: 2.0,
     FaultKind.PAUSE: 1.5,
     FaultKind.CROWD: 0.3,
     FaultKind.OUTAGE: 0.2,
@@ -115,6 +118,8 @@
 }
 
 
+_KILL_DELAYS_S = (0.0, 0.01, 0.08, 0.4)  # after the end of a message was told
+MAX_WAIT_FOR_END_S = 5.0
 _LINK_KINDS = (FaultKind.LINK, FaultKind.CLIENT_LINK, FaultKind.DISCOVERY_LINK)
 COPIED_LINKS = ("endpoints", "endpoints", "platform")  # what a copy fault applies to, by frequency
 _ENDPOINT_KINDS = (
@@ -155,6 +160,8 @@
 
 def _draw_process_fault(kind: FaultKind, start_s: float, forwarder: str, rng: random.Random) -> Fault:
     match kind:
+        case FaultKind.KILL_AFTER_END:
+            return Fault(kind, start_s, MAX_WAIT_FOR_END_S, forwarder, rng.choice(_KILL_DELAYS_S))
         case FaultKind.PAUSE:
             return Fault(kind, start_s, rng.uniform(0.2, 2.0), forwarder, rng.uniform(0.02, 0.15))
         case FaultKind.CLOCK_STEP | FaultKind.CLOCK_STEP_AT_RESTART:
--- a/honeybarrow/soak/rules.py
+++ b/honeybarrow/soak/rules.py
@@ -14,6 +14,7 @@
 
 from honeybarrow.soak import settings
 from honeybarrow.soak.history import ClientRequest, Event, EventKind, History
+from honeybarrow.soak.message_account import END_STATUSES, GONE_STATUS
 from honeybarrow.soak.plan import Fault, FaultKind
 
 SCHEDULING_DELAY_S = 0.2  # tolerated scheduling delay of the stand-ins and the forwarders
@@ -26,7 +27,8 @@
 READY_LIMIT_S = 10.0
 EXIT_DETECTION_S = 0.4  # longest time until an unexpected exit is recorded
 SMALL_CALL_BUDGET = 30  # calls; below it the statistical tolerance is larger
-REJECTED_STATUSES = frozenset(("429", "503"))  # of calls that were not executed
+REJECTED_STATUSES = frozenset(("429", "503")) | END_STATUSES  # of calls that were not executed
+UNREAD_S = 0.05  # before the end of a process, in which it may not have read a response
 NEVER = math.inf  # time of an event that has not happened
 
 
@@ -94,11 +96,22 @@
     calls: list[_Call] = field(default_factory=list)
     delivered_s: float = NEVER
     notifications: list[Event] = field(default_factory=list)
+    over_s: float = NEVER  # time at which an endpoint first told that the message is over
+    uncallable_s: float = NEVER  # the same, or that it has no attempt left
 
     @property
     def ended_s(self) -> float:
-        """Time of the final result: the delivery or the first notification."""
-        return min([self.delivered_s, *(event.time_s for event in self.notifications)])
+        """Time of the end: the delivery, the first notification, or the first 410."""
+        return min([self.delivered_s, self.over_s, *(event.time_s for event in self.notifications)])
+
+    def record_answer(self, event: Event) -> None:
+        """Record the first time of each response that decides what may follow."""
+        if event.detail == "200":
+            self.delivered_s = min(self.delivered_s, event.time_s)
+        elif event.detail in END_STATUSES:
+            self.uncallable_s = min(self.uncallable_s, event.time_s)
+        if event.detail == GONE_STATUS:
+            self.over_s = min(self.over_s, event.time_s)
 
 
 class RuleChecker:
@@ -159,8 +172,7 @@
                 case EventKind.CALL_ANSWERED | EventKind.CALL_CLOSED:
                     if (open_call := open_calls.pop(key, None)) is not None:
                         open_call.ended_s, open_call.status = event.time_s, event.detail
-                    if event.detail == "200":
-                        message.delivered_s = min(message.delivered_s, event.time_s)
+                    message.record_answer(event)
                 case EventKind.NOTIFIED:
                     message.notifications.append(event)
         return messages
@@ -237,10 +249,26 @@
                 self._report(SoakRule.LOST, f"called {after_s:.3f} s after its deadline", name, forwarder)
             if call.first_byte_s > notified_s + LIMIT_ALLOWANCE_S:
                 self._report(SoakRule.LOST, "called after its final result was notified", name, forwarder)
+            since_end_s = call.first_byte_s - message.uncallable_s
+            if since_end_s > 0 and not self._was_unread(forwarder, message.uncallable_s, call.first_byte_s):
+                text = f"called {since_end_s:.3f} s after an endpoint told that it is over"
+                self._report(SoakRule.LOST, text, name, forwarder)
         for earlier, later in zip(message.calls, message.calls[1:], strict=False):
             if later.last_byte_s < earlier.ended_s - LIMIT_ALLOWANCE_S:
                 self._report(SoakRule.DUPLICATE, "called again while a call was open", name, forwarder)
 
+    def _was_unread(self, forwarder: str, written_s: float, called_s: float) -> bool:
+        """Return whether the process ended right after a response was written, and another one called."""
+        ends_s = [
+            event.time_s
+            for event in self.history.by_forwarder(EventKind.PROCESS).get(forwarder, ())
+            if event.detail == "SIGKILL" or event.detail.startswith(("exited", "ended"))
+        ]
+        is_later_process = self._process_number(forwarder, called_s) > self._process_number(
+            forwarder, written_s
+        )
+        return is_later_process and any(written_s <= end_s <= written_s + UNREAD_S for end_s in ends_s)
+
     def _check_idempotency(self, message: _Message) -> None:
         """Check that a call that may have been executed is repeated only as its class permits."""
         spec = settings.CLASS_BY_NAME[message.request.class_name]
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import resource
@@ -23,6 +24,7 @@
 from honeybarrow.soak.forwarder_process import ForwarderUnderTest, free_ports
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.link import Impairment, LinkCondition
+from honeybarrow.soak.message_account import MessageAccount
 from honeybarrow.soak.plan import Fault, FaultKind, SoakSpec, draw_faults
 from honeybarrow.soak.rules import RuleChecker, SoakRule, SoakViolation
 
@@ -77,6 +79,7 @@
         self.rng = random.Random(spec.seed ^ 0x5EED)
         self.host = _unique_loopback_address()
         self.discovery = StandInDiscovery(self.host, self.history)
+        self.account = MessageAccount(self.history, spec.seed, spec.end_share)
         self.endpoints: dict[str, StandInEndpoint] = {}
         self.forwarders: dict[str, ForwarderUnderTest] = {}
         self.clients: dict[str, ClientPool] = {}
@@ -118,7 +121,7 @@
     async def _add_endpoint(self, destination: int, forwarders: Sequence[str]) -> StandInEndpoint:
         self._endpoint_count += 1
         name = f"e{self._endpoint_count}"
-        endpoint = StandInEndpoint(name, destination, self.host, self.history, self.rng)
+        endpoint = StandInEndpoint(name, destination, self.host, self.history, self.rng, self.account)
         for forwarder in forwarders:
             await endpoint.listen(forwarder)
         self.endpoints[name] = endpoint
@@ -199,6 +202,7 @@
         handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.TERMINATE: self._terminate,
             FaultKind.KILL: self._kill,
+            FaultKind.KILL_AFTER_END: self._kill_after_end,
             FaultKind.RELOAD: self._reload,
             FaultKind.SIGNALS: self._send_signals,
             FaultKind.PAUSE: self._pause,
@@ -234,6 +238,12 @@
         if not forwarder.is_stopping:
             await forwarder.kill_and_restart()
 
+    async def _kill_after_end(self, fault: Fault) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.account.next_end(fault.target), fault.duration_s)
+            await asyncio.sleep(fault.amount)
+            await self._kill(fault)
+
     async def _reload(self, fault: Fault) -> None:
         self.forwarders[fault.target].reload()
 
@@ -452,6 +462,8 @@
         if message.accepted_s is not None:
             counts["delivered"] += message.delivered_s <= message.ended_s < float("inf")
             counts["notified"] += bool(message.notifications)
+            counts["over"] += message.over_s < float("inf")
+            counts["over_and_notified"] += message.over_s < float("inf") and bool(message.notifications)
     return counts
 
 
--- a/honeybarrow/soak/settings.py
+++ b/honeybarrow/soak/settings.py
@@ -9,6 +9,7 @@
 ORDER_KEY_PAUSE_S = 0.1  # after an ambiguous call, before the next call of the same order key
 CALL_SLOTS = 12
 MAX_OPEN = 120
+MAX_ATTEMPTS = 8  # of each message
 CAPACITY_PER_S = 80.0  # of each destination, for all forwarders together
 COLLAPSE_MULTIPLE = 2.0  # load at which a destination collapses, as a multiple of its capacity
 COLLAPSE_WINDOW_S = 2.0  # over which the load is averaged
@@ -55,7 +56,12 @@
         "services": services,
         "kinds": ["shop"],
         "familyInfo": {"callSlots": CALL_SLOTS},
-        "limits": {"maxOpen": MAX_OPEN, "retryAfter": True, "maxRetryAfterUs": 2_000_000, "sendCap": 8},
+        "limits": {
+            "maxOpen": MAX_OPEN,
+            "retryAfter": True,
+            "maxRetryAfterUs": 2_000_000,
+            "sendCap": MAX_ATTEMPTS,
+        },
         "balancers": forwarders,
         "membershipMode": "on_request",
         "weightSource": "nominal",
--- /dev/null
+++ b/tests/test_ended_messages.py
@@ -0,0 +1,104 @@
+"""Messages that an endpoint has called over (410) or without an attempt left (504) are never called again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from tests.forwarder_harness import ForwarderHarness, PeerConnection
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+FULL = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+GONE = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
+LEFT_MS = 6000
+SECONDS = 8.0  # after which the time of each message is over
+
+
+def call_message(harness: ForwarderHarness, message: str, is_reused: bool) -> PeerConnection:
+    """Return the connection with the call of a message, after that of another one if it is reused."""
+    if is_reused:
+        harness.submit("m0")
+        first = harness.read_call("m0")
+        first.write(OK)
+        harness.advance_until(lambda: harness.process.pool.idle_count == 1)
+    harness.submit(message, left_ms=LEFT_MS)
+    return harness.read_call(message)
+
+
+def reset(harness: ForwarderHarness, call: PeerConnection) -> None:
+    call.reset()
+
+
+def close(harness: ForwarderHarness, call: PeerConnection) -> None:
+    call.close()
+
+
+def stay(harness: ForwarderHarness, call: PeerConnection) -> None:
+    """The endpoint stays silent."""
+
+
+def write(data: bytes) -> Callable[[ForwarderHarness, PeerConnection], None]:
+    """Return an event in which the endpoint writes more bytes."""
+
+    def event(harness: ForwarderHarness, call: PeerConnection) -> None:
+        call.read()
+        if not call.ending:
+            call.write(data)
+
+    return event
+
+
+def reset_next_request(harness: ForwarderHarness, call: PeerConnection) -> None:
+    harness.submit("m2", left_ms=LEFT_MS)
+    harness.read_call("m2").reset()
+
+
+FOLLOWING: dict[str, tuple[float, Callable[[ForwarderHarness, PeerConnection], None]]] = {
+    "nothing": (0.0, stay),
+    "reset at once": (0.005, reset),
+    "closed": (0.03, close),
+    "reset": (0.06, reset),
+    "reset late": (0.2, reset),
+    "next request gets no response": (0.05, reset_next_request),
+    "surplus 200": (0.02, write(OK)),
+    "surplus 503": (0.02, write(FULL)),
+    "surplus 410": (0.02, write(GONE)),
+}
+
+
+def play(
+    folder: Path,
+    data: bytes,
+    event: Callable[[ForwarderHarness, PeerConnection], None],
+    after_s: float,
+    is_reused: bool,
+) -> int:
+    """Answer the call of a message with ``data``, play an event, and return the number of its calls."""
+    folder.mkdir()
+    harness = ForwarderHarness(folder)
+    try:
+        call = call_message(harness, "m1", is_reused)
+        call.write(data)
+        harness.run_turns(3)
+        if after_s:
+            harness.advance(after_s, 0.005)
+        event(harness, call)
+        for _ in range(int(SECONDS / 0.5)):
+            harness.advance(0.5)
+            harness.receive_notifications()
+            for each in harness.target.accept_connections():  # a further call is answered, as any other
+                if not each.ending and each.read().count(b"POST ") > 1 and each is not call:
+                    each.write(GONE)
+        return harness.count_calls("m1")
+    finally:
+        harness.close()
+
+
+# Guards against: a 410 that is refuted by the end of its connection is resumed by a call (report d58050).
+def test_a_410_ends_a_message_whatever_follows_on_its_connection(tmp_path: Path) -> None:
+    cases = [(name, is_reused) for name in FOLLOWING for is_reused in (False, True)]
+    calls = {}
+    for number, (name, is_reused) in enumerate(cases):
+        after_s, event = FOLLOWING[name]
+        calls[name, is_reused] = play(tmp_path / str(number), GONE, event, after_s, is_reused)
+    assert calls == dict.fromkeys(cases, 1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,7 +43,7 @@
 
 
 def test_run_without_faults_delivers_every_message(tmp_path: Path) -> None:
-    result = run_short(tmp_path, SoakSpec(1, forwarders=3, load_s=4.0, faults=0))
+    result = run_short(tmp_path, SoakSpec(1, forwarders=3, load_s=4.0, faults=0, end_share=0.0))
     assert result.has_passed
     assert result.counts["delivered"] == result.counts["accepted"] == result.counts["requests"] > 20
 
@@ -162,6 +162,12 @@
         ("late result after restart", []),
         ("call after deadline", ["lost", "lost"]),
         ("call after notification", ["lost"]),
+        ("call after 410", ["lost"]),
+        ("call after 504", ["lost"]),
+        ("504 without a notification", ["lost"]),
+        ("call after 410 and a kill", ["lost"]),
+        ("call after 410 unread at a kill", []),
+        ("call before 410 of an earlier one", []),
         ("new connection closed", ["lost"]),
         ("new connection closed by killed process", []),
         ("concurrent calls", ["duplicate"]),
@@ -198,6 +204,8 @@
         if case == "pause of order key":
             builder.notify("m1", 1.51)
         builder.call("m2", 1.3 if case == "order" else 1.52, 1.6)
+    elif "410" in case or "504" in case:
+        _record_end_case(builder, case)
     else:
         _record_message_case(builder, case)
 
@@ -233,6 +241,20 @@
         builder.call("m1", 2.8, 2.9)
 
 
+def _record_end_case(builder: HistoryBuilder, case: str) -> None:
+    builder.accept("m1", 1.0)
+    builder.call("m1", 1.1, 1.2, "503")
+    builder.call("m1", 1.5, 1.501, "504" if "504" in case else "410")
+    if "kill" in case:
+        builder.add(1.54 if "unread" in case else 1.7, EventKind.PROCESS, detail="SIGKILL")
+        builder.add(2.3, EventKind.PROCESS, detail="started")
+        builder.add(2.5, EventKind.PROCESS, detail="ready", amount=0.2)
+    if case.startswith("call after"):
+        builder.call("m1", 2.6, 2.7, "503" if "504" in case else "410")
+    if case == "call after 504":
+        builder.notify("m1", 3.0)
+
+
 def _record_endpoint_case(builder: HistoryBuilder, case: str) -> None:
     if case.startswith("drain"):
         builder.add(1.0, EventKind.FAULT, "", endpoint="e1", detail="listed as leaving")
