A 410 read in doubt ends its message with a notification and is never refuted

Callers saw: a message that an endpoint had called over (410) was called again 164 to 1,554 ms later. A doubt was treated as a disproof. Change: a 410 gets no verdict. On a reused connection it is in doubt (AttemptOutcome.is_in_doubt): the message ends as failed and the platform is notified, which is right in both cases: no harm if it is over, and what is owed if the 410 was a copy.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -240,6 +240,8 @@
             attempt if is_unconfirmed else None,
         )
         context.guard.on_retry_after(target, now_us, outcome.retry_after_us)
+        if outcome.is_completed:
+            context.guard.on_reported_over(message_id, now_us)
         if is_unconfirmed:
             ends_message = completes and not message.is_completed
             unconfirmed = UnconfirmedOutcome(message, attempt, target, started_us, outcome, ends_message)
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -348,14 +348,23 @@
     ) -> None:
         self._queue_event(event)
         if event.is_completed and not message.is_completed:
-            if outcome.verdict is None:
-                self.context.message_log.record_completed(event.message)
-            self._complete(message, Delivered(outcome.reply))
+            self._complete_by_outcome(message, outcome)
         elif message.is_completed:
             self._schedule_removal(message)
             if message.is_withdrawn and message.attempts_in_flight == 0:
                 self.on_last_attempt_finished(event.message, outcome, message.is_ambiguous)
 
+    def _complete_by_outcome(self, message: InFlightMessage, outcome: AttemptOutcome) -> None:
+        """Complete a message that was delivered, or that its partner has reported as completed."""
+        message_id, message_log = message.submission.message, self.context.message_log
+        if outcome.is_in_doubt:
+            self.counters.ends_in_doubt += 1
+            self._complete(message, Failed(outcome.reason))
+        else:
+            if outcome.verdict is None:
+                message_log.record_completed(message_id)
+            self._complete(message, Delivered(outcome.reply))
+
     def _resume_later(self, message: InFlightMessage, started_us: int) -> None:
         """Resume a message after its delivery was refuted, once the turn that completed it is over."""
         self.context.clock.callLater(0, self._resume, message, started_us)
--- a/honeybarrow/delivery/submission.py
+++ b/honeybarrow/delivery/submission.py
@@ -83,6 +83,7 @@
     refused: int = 0
     failed: int = 0
     withdrawn: int = 0
+    ends_in_doubt: int = 0  # of the failed ones: reported as completed, perhaps for another message
     attempts: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
 
--- a/honeybarrow/message_guard.py
+++ b/honeybarrow/message_guard.py
@@ -46,6 +46,7 @@
     NOT_RECORDED = "its acceptance is not recorded"
     NOT_ACKNOWLEDGED = "its client has not been told that it is accepted"
     ENDED = "its final result is decided"
+    REPORTED_OVER = "an endpoint has told that it is over"
     EXPIRED = "its time is up"
     IN_FLIGHT = "an attempt is in flight"
     MAY_HAVE_RUN = "an attempt may have run, and the message must not run twice"
@@ -74,6 +75,7 @@
     Refusal.NOT_RECORDED: Rule.LOST,
     Refusal.NOT_ACKNOWLEDGED: Rule.LOST,
     Refusal.ENDED: Rule.LOST,
+    Refusal.REPORTED_OVER: Rule.LOST,
     Refusal.EXPIRED: Rule.LOST,
     Refusal.IN_FLIGHT: Rule.DUPLICATE,
     Refusal.MAY_HAVE_RUN: Rule.DUPLICATE,
@@ -97,8 +99,9 @@
 # Conditions that can change between the decision to forward and an established connection.
 _EXPECTED_AT_FORWARD = frozenset(
     (
-        Refusal.ENDED, Refusal.EXPIRED, Refusal.KEY_WINDOW_OVER, Refusal.DRAINING, Refusal.WAITING,
-        Refusal.SHUTTING_DOWN, Refusal.BEHIND_ENDING, Refusal.ORDER_KEY_COOLDOWN, Refusal.UNCONFIRMED,
+        Refusal.ENDED, Refusal.REPORTED_OVER, Refusal.EXPIRED, Refusal.KEY_WINDOW_OVER, Refusal.DRAINING,
+        Refusal.WAITING, Refusal.SHUTTING_DOWN, Refusal.BEHIND_ENDING, Refusal.ORDER_KEY_COOLDOWN,
+        Refusal.UNCONFIRMED,
     )
 )  # fmt: skip
 
@@ -179,6 +182,8 @@
         self._messages: dict[str, _TrackedMessage] = {}
         self._endpoints: dict[str, _TrackedEndpoint] = {}
         self._retry_after_until_us: dict[str | int, int] = {}  # by endpoint scope
+        # Messages that are over by the word of an endpoint, with their expiry; none is sent again before it.
+        self._reported_over_until_us: dict[str, int] = {}
         self._order_queues: dict[int, OrderedDict[str, None]] = {}  # by order key, in order of acceptance
         self._order_key_cooldown_until_us: dict[int, int] = {}
 
@@ -204,6 +209,10 @@
         elif attempts:
             tracked.state = MessageState.WAITING
         self._track(message, tracked)
+        if not is_resumed:
+            self._reported_over_until_us.pop(message, None)  # a new message that uses the id again
+        elif message in self._reported_over_until_us:
+            self._report(Refusal.REPORTED_OVER, "resume", message)
 
     def on_result_recovered(self, message: str, expires_us: int, order_key: int | None) -> None:
         """Track a message that a starting process completes without resuming it."""
@@ -284,6 +293,19 @@
         if tracked.state is MessageState.WAITING:
             tracked.state = MessageState.AMBIGUOUS
 
+    def on_reported_over(self, message: str, now_us: int) -> None:
+        """Record that an endpoint may have told that the message is over, so that no attempt starts any more.
+
+        That holds whatever is refuted later, and also if the message is submitted again as resumed.
+        """
+        tracked = self._messages.get(message)
+        if tracked is None:
+            return
+        self._reported_over_until_us = {
+            name: until_us for name, until_us in self._reported_over_until_us.items() if until_us > now_us
+        }
+        self._reported_over_until_us[message] = tracked.expires_us
+
     def on_retry_after(self, target: str, now_us: int, retry_after_us: int) -> None:
         """Record a Retry-After that an endpoint has sent."""
         endpoint = self._endpoints.get(target)
@@ -381,6 +403,8 @@
             return Refusal.NOT_ACKNOWLEDGED
         if tracked.state is MessageState.ENDING:
             return Refusal.ENDED
+        if message in self._reported_over_until_us:
+            return Refusal.REPORTED_OVER
         if tracked.state is MessageState.IN_FLIGHT:
             return Refusal.IN_FLIGHT
         if now_us + self._margin_us(tracked.message_class.deadline_us) > tracked.expires_us:
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -253,14 +253,16 @@
         self.pool.reuse_policy.record_response_time(
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
-        is_delivered = outcome.status is AttemptStatus.OK
-        if not self.pairing.is_next_certain and not is_delivered:
+        is_final = outcome.status is AttemptStatus.OK or outcome.is_completed
+        if not self.pairing.is_next_certain and outcome.is_completed:
+            outcome = replace(outcome, is_in_doubt=True)
+        elif not self.pairing.is_next_certain and not is_final:
             outcome = replace(outcome, retry_hold_us=self.pool.reuse_policy.retry_hold_us(self.target))
         if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
-            self.pairing.record_response(now_us, None, is_delivered)
+            self.pairing.record_response(now_us, None, is_final)
             return outcome
         response = UnconfirmedResponse(call.payload.message, PendingVerdict(), now_us)
-        self.pairing.record_response(now_us, response, is_delivered)
+        self.pairing.record_response(now_us, response, is_final)
         self.pool.await_verdict(self)
         return replace(outcome, verdict=response.verdict)
 
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -36,9 +36,12 @@
     """Return whether acting on an outcome that belongs to another request would break a guarantee.
 
     A wrong delivery loses the message. A wrong claim that it did not run lets it run twice, which matters
-    unless it is idempotent.
+    unless it is idempotent. A message that is reported as completed is never sent again, and the platform is
+    notified, which is right whether or not the report concerns this message.
     """
-    if outcome.status is AttemptStatus.OK or outcome.is_completed:
+    if outcome.is_completed:
+        return False
+    if outcome.status is AttemptStatus.OK:
         return True
     return outcome.not_run and idempotency is not Idempotency.IDEMPOTENT
 
@@ -62,9 +65,12 @@
         """Record that bytes have arrived."""
         self._last_input_us = now_us
 
-    def record_response(self, now_us: int, outcome: Outcome | None, is_delivered: bool) -> None:
-        """Record the response to a request; ``outcome`` is given if it needs a confirmation."""
-        self.is_failure_uncertain = self.responses > 0 and not is_delivered
+    def record_response(self, now_us: int, outcome: Outcome | None, is_final: bool) -> None:
+        """Record the response to a request.
+
+        ``outcome`` is given if it needs a confirmation; ``is_final`` if its message is not sent again for it.
+        """
+        self.is_failure_uncertain = self.responses > 0 and not is_final
         self.responses += 1
         self._last_input_us = now_us
         if outcome is None:
