The end of a message is committed to the log as soon as a 410 is read

Callers saw: a process killed 10 to 400 ms after a 410 was followed by one that called the message again. Change: Forwarder._complete_by_outcome commits at once: a completion, or, in doubt, the final result that the next process notifies. While the folder can't be written the end is in memory alone, as for every record.

--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -364,6 +364,9 @@
             if outcome.verdict is None:
                 message_log.record_completed(message_id)
             self._complete(message, Delivered(outcome.reply))
+        if outcome.is_completed:
+            # At once: a kill before the end of the turn would let the next process send the message again.
+            message_log.commit()
 
     def _resume_later(self, message: InFlightMessage, started_us: int) -> None:
         """Resume a message after its delivery was refuted, once the turn that completed it is over."""
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import pytest
+
 from tests.forwarder_harness import ForwarderHarness, PeerConnection
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -107,3 +109,22 @@
         results[name, is_reused] = play(tmp_path / str(number), GONE, event, after_s, is_reused)
     # A 410 on a reused connection may be that of another message, which is owed a notification.
     assert results == {(name, is_reused): (1, is_reused) for name, is_reused in cases}
+
+
+# Guards against: a kill right after a 410 was read lets the next process call the message (report d58050).
+@pytest.mark.parametrize("is_reused", [False, True])
+def test_a_410_that_was_read_is_known_to_the_next_process(tmp_path: Path, is_reused: bool) -> None:
+    harness = ForwarderHarness(tmp_path)
+    call_message(harness, "m1", is_reused).write(GONE)
+    while harness.process.forwarder.open_count:
+        harness.run_turns()
+    harness.kill()
+    harness.start_process()
+    harness.send_list(harness.read_watch(), 41)
+    notified = []
+    for _ in range(int(SECONDS / 0.5)):
+        harness.advance(0.5)
+        notified += [each["message"] for each in harness.receive_notifications()]
+    assert harness.count_calls("m1") == 1
+    assert ("m1" in notified) is is_reused
+    harness.close()
