A 410 counts as soon as its status has arrived, however its response goes on

Callers saw: a message whose 410 was cut, spoilt, endless or followed by silence was called again, a 200 in the same state was not. Cause: only a complete 410 was an end; HttpConnection took everything else for an ambiguous failure (_on_invalid_response, connectionLost, HttpCall._on_timeout), which the policy repeats. And a kill in the silence before the time-out would have forgotten it. Change: ResponseReader.announced_status is known with the third digit; HttpConnection._finish_by_status_line ends the call then, with a notification, since the rest is missing. classify_partial is the one place for responses of which a part arrived. A response that is cut refutes itself alone, not the one before it (_last_response).

--- a/honeybarrow/http/client.py
+++ b/honeybarrow/http/client.py
@@ -15,6 +15,7 @@
 )
 
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
+MIN_FINAL_STATUS = 200  # those below are interim
 MAX_CHUNK_LINE_BYTES = 256  # chunk size and extensions
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
 # Within a head it shows that the head was cut off and another response follows.
@@ -86,6 +87,15 @@
         self.status: int | None = None  # set once the status line of the final response is complete
         self.has_started = False
 
+    @property
+    def announced_status(self) -> int | None:
+        """Status of the final response, as soon as its three digits have arrived."""
+        if self.status is not None or self._part is not _Part.HEAD:
+            return self.status
+        match = _STATUS_LINE_START.match(self._buffer)
+        status = int(match[0][-3:]) if match is not None else None
+        return status if status is not None and status >= MIN_FINAL_STATUS else None
+
     @property
     def is_done(self) -> bool:
         """Whether the response is complete or invalid."""
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -13,7 +13,7 @@
 from honeybarrow.delivery.outcome import AttemptOutcome, Evidence, PendingVerdict, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
-from honeybarrow.node.http_outcome import classify_response
+from honeybarrow.node.http_outcome import DELIVERED_STATUS, END_STATUSES, classify_response
 from honeybarrow.node.response_pairing import ResponsePairing, needs_confirmation
 from honeybarrow.node.sockets import write_now
 
@@ -71,6 +71,7 @@
         self._request_written_at_s = 0.0
         self._is_response_premature = False  # it began before the end of its request was written
         self._surplus = b""
+        self._last_response: UnconfirmedResponse | None = None  # of the last call, if it awaits a verdict
         # Confirmed by silence alone; no later response shows that their requests were answered at all.
         self._confirmed: list[UnconfirmedResponse] = []
 
@@ -105,7 +106,7 @@
             match event:
                 case http.Head():
                     self.head = event
-                    if event.status == 200:  # delivered, even if the body is truncated or invalid
+                    if event.status == DELIVERED_STATUS:  # even if the body is truncated or invalid
                         self.pool.await_response_rest(self)
                         self._finish_by_head(event)
                 case http.Complete(reuse):
@@ -113,10 +114,20 @@
                 case http.InvalidResponse():
                     self._on_invalid_response(event)
                     self.close()
+        self._finish_by_status_line()
+
+    def _finish_by_status_line(self) -> None:
+        """End the message of the call as soon as a status says that it is over.
+
+        The rest of the response may never come, and the message must not be sent again then.
+        """
+        if self.call is not None and self.response_status in END_STATUSES:
+            self.pool.await_response_rest(self)
+            self.finish_call(self.classify_partial(AttemptStatus.RESET, ""))
 
     def _on_response_complete(self, can_reuse: bool) -> None:
         head, reader, self.reader = self.head, self.reader, None
-        if head is not None and head.status != 200:
+        if head is not None and head.status != DELIVERED_STATUS:
             self._finish_by_head(head)
         if can_reuse and self.call is None and not self.is_closed and not self._is_response_premature:
             if self.pairing.is_failure_uncertain:
@@ -172,9 +183,9 @@
 
     @property
     def response_status(self) -> int | None:
-        """Status of the response to the last request, as soon as its status line has arrived."""
+        """Status of the response to the last request, as soon as its three digits have arrived."""
         if self.reader is not None:
-            return self.reader.status
+            return self.reader.announced_status
         return self.head.status if self.head is not None else None
 
     @property
@@ -209,7 +220,7 @@
         # since was written before the true response to the one before it.
         recent_us = self._now_us() - self.pool.reuse_policy.silence_before_end_us(self.target)
         responses = self.pairing.take_unconfirmed()
-        if responses and self._is_response_incomplete():
+        if self._last_response in responses and self._is_response_incomplete():
             responses.pop().verdict.refute(Evidence.CUT_RESPONSE)
         for response in responses:
             if verdict is Verdict.REFUTED and response.read_at_us > recent_us:
@@ -225,16 +236,23 @@
     def _on_invalid_response(self, event: http.InvalidResponse) -> None:
         remedy = "tell the target's owner: its responses are not valid HTTP/1.1 within the protocol's limits"
         self.pool.rate_limited_log.warn("invalid_response", f"{self.target}: {event.reason}", remedy)
-        if event.status == 200:
-            self.finish_call(AttemptOutcome(AttemptStatus.OK))
-        else:
-            self.finish_call(self.classify_partial(AttemptStatus.RESET, f"invalid response: {event.reason}"))
+        reason = f"invalid response: {event.reason}"
+        self.finish_call(self.classify_partial(AttemptStatus.RESET, reason))
 
     def classify_partial(self, status: AttemptStatus, reason: str) -> AttemptOutcome:
-        """Return the ambiguous outcome of a truncated response, with its Retry-After if the head arrived."""
-        head = self.head
-        wait_us = classify_response(head.status, head.fields, ()).retry_after_us if head is not None else 0
-        return AttemptOutcome(status, retry_after_us=wait_us, reason=reason)
+        """Return the outcome of a response of which only a part has arrived.
+
+        A status that ends the message is sufficient, and so is a status line that says that it is delivered.
+        All others are ambiguous, with ``status`` and ``reason``; their Retry-After holds if the head arrived.
+        """
+        response_status = self.response_status
+        if self.reader is not None and self.reader.status == DELIVERED_STATUS:
+            return AttemptOutcome(AttemptStatus.OK)
+        head = self.head or http.Head(response_status or 0, {})
+        outcome = classify_response(head.status, head.fields, ())
+        if response_status in END_STATUSES:
+            return replace(outcome, is_in_doubt=True)
+        return AttemptOutcome(status, retry_after_us=outcome.retry_after_us, reason=reason)
 
     def _finish_by_head(self, head: http.Head) -> None:
         self.finish_call(classify_response(head.status, head.fields, self.pool.load_report_fields))
@@ -260,8 +278,9 @@
             outcome = replace(outcome, retry_hold_us=self.pool.reuse_policy.retry_hold_us(self.target))
         if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
             self.pairing.record_response(now_us, None, is_final)
+            self._last_response = None
             return outcome
-        response = UnconfirmedResponse(call.payload.message, PendingVerdict(), now_us)
+        response = self._last_response = UnconfirmedResponse(call.payload.message, PendingVerdict(), now_us)
         self.pairing.record_response(now_us, response, is_final)
         self.pool.await_verdict(self)
         return replace(outcome, verdict=response.verdict)
@@ -275,7 +294,7 @@
         for event in events:
             if isinstance(event, http.Complete) and head is not None:
                 self._finish_by_head(head)
-            elif isinstance(event, http.InvalidResponse) and event.status == 200:
+            elif isinstance(event, http.InvalidResponse) and event.status == DELIVERED_STATUS:
                 self.finish_call(AttemptOutcome(AttemptStatus.OK))
         call, self.call = self.call, None
         if call is not None:
--- a/honeybarrow/node/http_outcome.py
+++ b/honeybarrow/node/http_outcome.py
@@ -9,6 +9,8 @@
 from honeybarrow.delivery.outcome import AttemptOutcome
 from honeybarrow.events import AttemptStatus
 
+DELIVERED_STATUS, GONE_STATUS = 200, 410
+END_STATUSES = (GONE_STATUS,)  # after which a message is never sent again
 MAX_LOAD_REPORT_BYTES = 1024
 MAX_WAIT_DIGITS = 9  # of a delay in milliseconds
 
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -66,6 +66,16 @@
     "surplus 503": (0.02, write(FULL)),
     "surplus 410": (0.02, write(GONE)),
 }
+CUT_RESPONSES = {
+    "three digits": b"HTTP/1.1 410",
+    "status line": b"HTTP/1.1 410 Gone\r\n",
+    "half a field": b"HTTP/1.1 410 Gone\r\nContent-Le",
+    "head without its body": b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nabc",
+    "invalid field": b"HTTP/1.1 410 Gone\r\nspoilt\r\n\r\n",
+    "endless head": b"HTTP/1.1 410 Gone\r\nX: " + b"x" * 70_000,
+    "interim response before it": b"HTTP/1.1 103 Hm\r\n\r\nHTTP/1.1 410 Gone\r\nConte",
+}
+CUT_ENDS = {"closed": close, "reset": reset, "silence": stay}
 
 
 def play(
@@ -111,6 +121,19 @@
     assert results == {(name, is_reused): (1, is_reused) for name, is_reused in cases}
 
 
+# Guards against: a 410 that does not arrive whole is repeated like a failure (report d58050).
+def test_a_410_that_is_cut_ends_a_message(tmp_path: Path) -> None:
+    cases = [
+        (cut, end, is_reused) for cut in CUT_RESPONSES for end in CUT_ENDS for is_reused in (False, True)
+    ]
+    results = {}
+    for number, (cut, end, is_reused) in enumerate(cases):
+        results[cut, end, is_reused] = play(
+            tmp_path / str(number), CUT_RESPONSES[cut], CUT_ENDS[end], 0.01, is_reused
+        )
+    assert results == dict.fromkeys(cases, (1, True))
+
+
 # Guards against: a kill right after a 410 was read lets the next process call the message (report d58050).
 @pytest.mark.parametrize("is_reused", [False, True])
 def test_a_410_that_was_read_is_known_to_the_next_process(tmp_path: Path, is_reused: bool) -> None:
