A 504 ends its message with a notification instead of further calls

Callers saw: a message without an attempt left (504) was called two to three times more before its end was notified. Cause: 504 was an outcome like 'not sent' (http_outcome), so the policy repeated it until its caps. Change: 504 ends the message at once and owes a notification, also if the response is cut or may belong to another message: a call can't succeed if it is true, and the notification is owed if it is not. AttemptOutcome.is_over and owes_notification replace is_completed and is_in_doubt. The rows of 504 in test_golden_calls and test_platform_calls say so; the policy is unchanged.

--- a/honeybarrow/delivery/attempts.py
+++ b/honeybarrow/delivery/attempts.py
@@ -228,7 +228,7 @@
             state_after=message.state.value,
             time_left_us=message.time_left_us(context.now_us()),
         )
-        completes = outcome.status is AttemptStatus.OK or outcome.is_completed
+        completes = outcome.status is AttemptStatus.OK or outcome.is_over
         now_us, needs_key_cooldown = context.now_us(), outcome.status in KEY_COOLDOWN_STATUSES
         is_unconfirmed = outcome.verdict is not None
         context.guard.on_attempt_finished(
@@ -240,7 +240,7 @@
             attempt if is_unconfirmed else None,
         )
         context.guard.on_retry_after(target, now_us, outcome.retry_after_us)
-        if outcome.is_completed:
+        if outcome.is_over:
             context.guard.on_reported_over(message_id, now_us)
         if is_unconfirmed:
             ends_message = completes and not message.is_completed
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -355,16 +355,16 @@
                 self.on_last_attempt_finished(event.message, outcome, message.is_ambiguous)
 
     def _complete_by_outcome(self, message: InFlightMessage, outcome: AttemptOutcome) -> None:
-        """Complete a message that was delivered, or that its partner has reported as completed."""
+        """Complete a message that was delivered, or that its partner has reported as over."""
         message_id, message_log = message.submission.message, self.context.message_log
-        if outcome.is_in_doubt:
-            self.counters.ends_in_doubt += 1
+        if outcome.owes_notification:
+            self.counters.ends_notified += 1
             self._complete(message, Failed(outcome.reason))
         else:
             if outcome.verdict is None:
                 message_log.record_completed(message_id)
             self._complete(message, Delivered(outcome.reply))
-        if outcome.is_completed:
+        if outcome.is_over:
             # At once: a kill before the end of the turn would let the next process send the message again.
             message_log.commit()
 
--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -87,9 +87,9 @@
     """The outcome of one attempt.
 
     ``reply`` is the partner's reply, if there was one. ``not_run`` is set if the message was certainly not
-    executed. ``is_completed`` is set if the partner reports that the message has already been completed, and
-    ``is_in_doubt`` if that report may concern another message: nothing is sent any more, and the platform is
-    notified, which has no effect if the message is completed.
+    executed. ``is_over`` is set if the partner reports that the message is over or has no attempt left, so
+    that it must not be sent again. ``owes_notification`` is set if its end is then still owed, or may be,
+    because the report may concern another message.
     ``no_slot_free`` is set if the attempt was not sent because this forwarder has no call slot free, by its
     own count or by the partner's. ``retry_hold_us`` is the time before which the message must not be sent
     again, because the attempt may still be out. ``connection`` is for logs only. ``verdict`` is set if the
@@ -102,8 +102,8 @@
     load_report: tuple[float, ...] = ()
     reply: Reply | None = None
     reason: str = ""
-    is_completed: bool = False
-    is_in_doubt: bool = False
+    is_over: bool = False
+    owes_notification: bool = False
     no_slot_free: bool = False
     retry_hold_us: int = 0
     connection: ConnectionUse | None = field(default=None, compare=False, repr=False)
--- a/honeybarrow/delivery/submission.py
+++ b/honeybarrow/delivery/submission.py
@@ -83,7 +83,7 @@
     refused: int = 0
     failed: int = 0
     withdrawn: int = 0
-    ends_in_doubt: int = 0  # of the failed ones: reported as completed, perhaps for another message
+    ends_notified: int = 0  # of the failed ones: an endpoint reported that they are over
     attempts: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
 
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -251,7 +251,7 @@
         head = self.head or http.Head(response_status or 0, {})
         outcome = classify_response(head.status, head.fields, ())
         if response_status in END_STATUSES:
-            return replace(outcome, is_in_doubt=True)
+            return replace(outcome, owes_notification=True)
         return AttemptOutcome(status, retry_after_us=outcome.retry_after_us, reason=reason)
 
     def _finish_by_head(self, head: http.Head) -> None:
@@ -271,9 +271,9 @@
         self.pool.reuse_policy.record_response_time(
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
-        is_final = outcome.status is AttemptStatus.OK or outcome.is_completed
-        if not self.pairing.is_next_certain and outcome.is_completed:
-            outcome = replace(outcome, is_in_doubt=True)
+        is_final = outcome.status is AttemptStatus.OK or outcome.is_over
+        if not self.pairing.is_next_certain and outcome.is_over:
+            outcome = replace(outcome, owes_notification=True)
         elif not self.pairing.is_next_certain and not is_final:
             outcome = replace(outcome, retry_hold_us=self.pool.reuse_policy.retry_hold_us(self.target))
         if self.pairing.is_next_certain or not needs_confirmation(outcome, call.payload.idempotency):
--- a/honeybarrow/node/http_outcome.py
+++ b/honeybarrow/node/http_outcome.py
@@ -9,8 +9,8 @@
 from honeybarrow.delivery.outcome import AttemptOutcome
 from honeybarrow.events import AttemptStatus
 
-DELIVERED_STATUS, GONE_STATUS = 200, 410
-END_STATUSES = (GONE_STATUS,)  # after which a message is never sent again
+DELIVERED_STATUS, GONE_STATUS, EXHAUSTED_STATUS = 200, 410, 504
+END_STATUSES = (GONE_STATUS, EXHAUSTED_STATUS)  # after which a message is never sent again
 MAX_LOAD_REPORT_BYTES = 1024
 MAX_WAIT_DIGITS = 9  # of a delay in milliseconds
 
@@ -46,9 +46,17 @@
                 )
             return AttemptOutcome(AttemptStatus.FULL, True, load_report=load, reason="503")
         case 504:
-            return AttemptOutcome(AttemptStatus.NOT_SENT, True, load_report=load, reason="no attempt left")
+            # A further call could not succeed, also if this response is that of another message.
+            return AttemptOutcome(
+                AttemptStatus.NOT_SENT,
+                True,
+                load_report=load,
+                reason="no attempt left",
+                is_over=True,
+                owes_notification=True,
+            )
         case 410:
             return AttemptOutcome(
-                AttemptStatus.NOT_SENT, True, load_report=load, reason="message completed", is_completed=True
+                AttemptStatus.NOT_SENT, True, load_report=load, reason="message completed", is_over=True
             )
     return AttemptOutcome(AttemptStatus.ERROR, load_report=load, reason=str(status))
--- a/honeybarrow/node/response_pairing.py
+++ b/honeybarrow/node/response_pairing.py
@@ -36,10 +36,10 @@
     """Return whether acting on an outcome that belongs to another request would break a guarantee.
 
     A wrong delivery loses the message. A wrong claim that it did not run lets it run twice, which matters
-    unless it is idempotent. A message that is reported as completed is never sent again, and the platform is
+    unless it is idempotent. A message that is reported as over is never sent again, and the platform is
     notified, which is right whether or not the report concerns this message.
     """
-    if outcome.is_completed:
+    if outcome.is_over:
         return False
     if outcome.status is AttemptStatus.OK:
         return True
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -134,13 +134,30 @@
     assert results == dict.fromkeys(cases, (1, True))
 
 
+# Guards against: a message that has no attempt left is called again, and not notified (report d58050).
+def test_a_504_ends_a_message_with_a_notification(tmp_path: Path) -> None:
+    whole = b"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n"
+    cut = b"HTTP/1.1 504 No\r\nContent-Le"
+    cases = [
+        (data, end, is_reused) for data in (whole, cut) for end in CUT_ENDS for is_reused in (False, True)
+    ]
+    results = {}
+    for number, (data, end, is_reused) in enumerate(cases):
+        results[data, end, is_reused] = play(tmp_path / str(number), data, CUT_ENDS[end], 0.01, is_reused)
+    assert results == dict.fromkeys(cases, (1, True))
+
+
 # Guards against: a kill right after a 410 was read lets the next process call the message (report d58050).
 @pytest.mark.parametrize("is_reused", [False, True])
-def test_a_410_that_was_read_is_known_to_the_next_process(tmp_path: Path, is_reused: bool) -> None:
+@pytest.mark.parametrize("data", [GONE, b"HTTP/1.1 410 Go", b"HTTP/1.1 504 No\r\n"])
+def test_an_end_that_was_read_is_known_to_the_next_process(
+    tmp_path: Path, is_reused: bool, data: bytes
+) -> None:
     harness = ForwarderHarness(tmp_path)
-    call_message(harness, "m1", is_reused).write(GONE)
-    while harness.process.forwarder.open_count:
-        harness.run_turns()
+    call_message(harness, "m1", is_reused).write(data)
+    for _ in range(10):
+        if harness.process.forwarder.open_count:
+            harness.run_turns()
     harness.kill()
     harness.start_process()
     harness.send_list(harness.read_watch(), 41)
@@ -149,5 +166,5 @@
         harness.advance(0.5)
         notified += [each["message"] for each in harness.receive_notifications()]
     assert harness.count_calls("m1") == 1
-    assert ("m1" in notified) is is_reused
+    assert ("m1" in notified) is (is_reused or data != GONE)
     harness.close()
--- a/tests/test_golden_calls.py
+++ b/tests/test_golden_calls.py
@@ -48,7 +48,7 @@
     not_run: bool = False
     retry_after_us: int = 0
     load_report: tuple[float, ...] = ()
-    is_completed: bool = False
+    is_over: bool = False
     no_slot_free: bool = False
 
 
@@ -88,8 +88,8 @@
     Row("503, lost in its body", (truncated_body(b"503 No"), LOST), "reset"),
     Row("503, late in its body", (truncated_body(b"503 No"), SILENT), "timeout"),
     Row("503, overlong body", (response(b"503 No", length=OVERLONG),), "reset"),
-    Row("504", (response(b"504 No"),), "not_sent", True),
-    Row("410", (response(b"410 Gone"),), "not_sent", True, is_completed=True),
+    Row("504", (response(b"504 No"),), "not_sent", True, is_over=True),
+    Row("410", (response(b"410 Gone"),), "not_sent", True, is_over=True),
     Row("500", (response(b"500 No"),), "error"),
     Row("500, load", (response(b"500 No", LOAD),), "error", load_report=(0.5, 3.0)),
     Row("500, half a load", (response(b"500 No", b'X-Backend-Load: {"cpu": 0.5}'),), "error"),
@@ -142,8 +142,8 @@
     assert (outcome.status.value, outcome.not_run, outcome.retry_after_us) == (
         row.status, row.not_run, row.retry_after_us,
     )  # fmt: skip
-    assert (outcome.load_report, outcome.is_completed, outcome.no_slot_free) == (
-        row.load_report, row.is_completed, row.no_slot_free,
+    assert (outcome.load_report, outcome.is_over, outcome.no_slot_free) == (
+        row.load_report, row.is_over, row.no_slot_free,
     )  # fmt: skip
 
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -35,8 +35,14 @@
             {b"x-line-busy": b"1"},
             AttemptOutcome(Status.NOT_SENT, True, reason="no slot free", no_slot_free=True),
         ),
-        (504, {}, AttemptOutcome(Status.NOT_SENT, True, reason="no attempt left")),
-        (410, {}, AttemptOutcome(Status.NOT_SENT, True, reason="message completed", is_completed=True)),
+        (
+            504,
+            {},
+            AttemptOutcome(
+                Status.NOT_SENT, True, reason="no attempt left", is_over=True, owes_notification=True
+            ),
+        ),
+        (410, {}, AttemptOutcome(Status.NOT_SENT, True, reason="message completed", is_over=True)),
         (400, {}, AttemptOutcome(Status.ERROR, reason="400")),
     ],
 )
--- a/tests/test_response_pairing.py
+++ b/tests/test_response_pairing.py
@@ -69,8 +69,8 @@
     ("outcome", "idempotency", "needed"),
     [
         (AttemptOutcome(AttemptStatus.OK), Idempotency.IDEMPOTENT, True),
-        (AttemptOutcome(AttemptStatus.NOT_SENT, True, is_completed=True), Idempotency.IDEMPOTENT, False),
-        (AttemptOutcome(AttemptStatus.NOT_SENT, True, is_completed=True), Idempotency.NON_IDEMPOTENT, False),
+        (AttemptOutcome(AttemptStatus.NOT_SENT, True, is_over=True), Idempotency.IDEMPOTENT, False),
+        (AttemptOutcome(AttemptStatus.NOT_SENT, True, is_over=True), Idempotency.NON_IDEMPOTENT, False),
         (AttemptOutcome(AttemptStatus.FULL, True), Idempotency.IDEMPOTENT, False),
         (AttemptOutcome(AttemptStatus.FULL, True), Idempotency.IDEMPOTENT_WITH_KEY, True),
         (AttemptOutcome(AttemptStatus.NOT_SENT, True), Idempotency.NON_IDEMPOTENT, True),
