A refuted outcome is decided by a table that is right also if the outcome is true

Cause: each refutation, whatever its evidence, led to the opposite action, a call (UnconfirmedOutcomes._on_verdict). Change: delivery/refutation.decide is the table of outcomes and evidence, without I/O. Only a surplus response resumes a delivery by a call; the end of the connection, a cut response or a request without a response lead to a notification, which is owed if the delivery was another's and harmless if not; a surplus 410, or one read as another's response, ends every message that it may be for (Evidence.ENDED_RESPONSE, Forwarder.on_reported_over), open ones too. A notification after a confirmation is recorded with its message again, so that it outlives a kill; before, a confirmed delivery that was refuted past its time got none. A surplus on a connection whose next request is not written yet counts as a surplus. The soak's default draw has ended messages now (end_share 0.15).

--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -123,7 +123,9 @@
             get_shutdown_age_us,
         )
         self.counters, self.rng = self.context.counters, random.Random(seed)
-        self.unconfirmed = UnconfirmedOutcomes(self.context, self._queue_event, self._resume_later)
+        self.unconfirmed = UnconfirmedOutcomes(
+            self.context, self._queue_event, self._resume_later, self._notify_refuted
+        )
         self._attempts = AttemptRunner(self.context, self._on_attempt_finished, self.unconfirmed)
         # Called with a message whose delivery was refuted and that can't be sent again.
         self.on_refuted_delivery: Callable[[str], None] = _do_nothing
@@ -375,7 +377,8 @@
     def _resume(self, message: InFlightMessage, started_us: int) -> None:
         submission, now_us = message.submission, self.now_us()
         if submission.message in self._messages:
-            self._resume_later(message, started_us)
+            if self._messages[submission.message] is message:
+                self._resume_later(message, started_us)
             return
         message.record_ambiguous(started_us)
         left_us = message.time_left_us(now_us)
@@ -394,6 +397,29 @@
         result = self.submit(resumed)
         result.addCallback(lambda final: self._on_resumed_result(submission.message, final))
 
+    def _notify_refuted(self, message: InFlightMessage) -> None:
+        """Notify the failure of a message that is not sent again although its delivery was refuted."""
+        message_id = message.submission.message
+        if message_id not in self._messages:
+            message_log = self.context.message_log
+            message_log.record_accepted(replace(message.submission, attempts=message.attempts))
+            message_log.commit()
+            self.on_refuted_delivery(message_id)
+            message_log.commit()
+        elif self._messages[message_id] is message:  # the turn that completed it is not over yet
+            self.context.clock.callLater(0, self._notify_refuted, message)
+
+    def on_reported_over(self, message_id: str) -> None:
+        """End a message that may be over by a response that can't be assigned to an attempt."""
+        message = self._messages.get(message_id)
+        if message is None or message.is_completed:
+            return
+        self.guard.on_reported_over(message_id, self.now_us())
+        self.counters.ends_notified += 1
+        self._complete(message, Failed("perhaps completed"))
+        self.context.message_log.commit()
+        self._queue_event(MessageExpired(message_id))
+
     def _on_resumed_result(self, message_id: str, result: DeliveryResult) -> None:
         self.unconfirmed.redelivered_count += isinstance(result, Delivered)
         self.on_redelivered(message_id, result)
--- a/honeybarrow/delivery/outcome.py
+++ b/honeybarrow/delivery/outcome.py
@@ -37,6 +37,7 @@
     """What refutes an outcome."""
 
     SURPLUS_RESPONSE = "surplus_response"  # more responses than requests on its connection
+    ENDED_RESPONSE = "ended_response"  # a later response on its connection says that a message is over
     CUT_RESPONSE = "cut_response"  # only a part of it arrived
     NO_RESPONSE = "no_response"  # to the request after it on its connection
     CONNECTION_END = "connection_end"  # soon after it
--- a/honeybarrow/delivery/unconfirmed.py
+++ b/honeybarrow/delivery/unconfirmed.py
@@ -1,8 +1,9 @@
 """Outcomes that may belong to another request, kept until a verdict confirms or refutes them.
 
-A confirmed outcome is recorded in the message log. After a refuted delivery the message is resumed, like a
-message of an earlier process; after a refuted "not run" the attempt counts as one that may have run. Until
-the verdict the log has the attempt as unfinished, so that after a crash it counts as ambiguous too.
+A confirmed outcome is recorded in the message log. After a refuted one :mod:`honeybarrow.delivery.refutation`
+decides: the message is resumed, like a message of an earlier process, or the platform is notified, or the
+attempt counts as one that may have run. Until the verdict the log has the attempt as unfinished, so that
+after a crash it counts as ambiguous too.
 
 A delivery that was confirmed by silence may be refuted later; the log then records its message again.
 """
@@ -14,9 +15,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from honeybarrow.delivery.outcome import AttemptOutcome, Verdict
+from honeybarrow.delivery.outcome import AttemptOutcome, Evidence, Verdict
+from honeybarrow.delivery.refutation import Decision, decide
 from honeybarrow.delivery.submission import DeliveryContext
 from honeybarrow.events import Event, OutcomeRefuted
+from honeybarrow.message_guard import may_resume
 
 if TYPE_CHECKING:
     from honeybarrow.delivery.attempts import InFlightMessage
@@ -38,8 +41,8 @@
 class UnconfirmedOutcomes:
     """Carries out the verdicts on the outcomes of one forwarder.
 
-    ``queue_event`` passes an event to the policy, and ``resume`` receives the message of a refuted
-    delivery and the start of its attempt.
+    ``queue_event`` passes an event to the policy. ``resume`` receives the message of a refuted delivery that
+    is sent again, and the start of its attempt; ``notify`` one that is not.
     """
 
     def __init__(
@@ -47,8 +50,10 @@
         context: DeliveryContext,
         queue_event: Callable[[Event], None],
         resume: Callable[[InFlightMessage, int], None],
+        notify: Callable[[InFlightMessage], None],
     ) -> None:
-        self._context, self._queue_event, self._resume = context, queue_event, resume
+        self._context, self._queue_event = context, queue_event
+        self._resume, self._notify = resume, notify
         self.count = 0  # outcomes without a verdict
         self.refuted_counts: Counter[str] = Counter()  # by evidence
         self.redelivered_count = 0  # refuted deliveries whose repeat was answered as delivered
@@ -68,14 +73,27 @@
         unconfirmed.is_confirmed = verdict is Verdict.CONFIRMED
         if verdict is Verdict.CONFIRMED:
             self._record_confirmed(unconfirmed)
-        elif unconfirmed.ends_message:
-            self._log_refuted(unconfirmed, "resumed")
-            self._resume(unconfirmed.message, unconfirmed.started_us)
-        elif is_first:
-            self._log_refuted(unconfirmed, "ambiguous")
-            self._record_as_ambiguous(unconfirmed)
+        elif unconfirmed.ends_message or is_first:
+            self._on_refuted(unconfirmed)
         self._schedule_commit()
 
+    def _on_refuted(self, unconfirmed: UnconfirmedOutcome) -> None:
+        message, context = unconfirmed.message, self._context
+        verdict = unconfirmed.outcome.verdict
+        evidence = (verdict.evidence if verdict is not None else None) or Evidence.CONNECTION_END
+        message_class = context.sender.classes[message.submission.class_name]
+        left_us = message.time_left_us(context.now_us())
+        refusal = may_resume(message_class, left_us, has_ambiguous_attempt=True, is_time_certain=True)
+        decision = decide(evidence, unconfirmed.ends_message, refusal)
+        self._log_refuted(unconfirmed, evidence, decision)
+        match decision:
+            case Decision.RESUME:
+                self._resume(message, unconfirmed.started_us)
+            case Decision.NOTIFY:
+                self._notify(message)
+            case Decision.AMBIGUOUS:
+                self._record_as_ambiguous(unconfirmed)
+
     def _record_confirmed(self, unconfirmed: UnconfirmedOutcome) -> None:
         context, message_id = self._context, unconfirmed.message.submission.message
         if unconfirmed.ends_message:
@@ -96,18 +114,17 @@
         )
         self._queue_event(OutcomeRefuted(message_id, context.now_us() - unconfirmed.started_us))
 
-    def _log_refuted(self, unconfirmed: UnconfirmedOutcome, decision: str) -> None:
-        message, verdict = unconfirmed.message, unconfirmed.outcome.verdict
-        evidence = verdict.evidence.value if verdict is not None and verdict.evidence is not None else ""
-        self.refuted_counts[evidence] += 1
+    def _log_refuted(self, unconfirmed: UnconfirmedOutcome, evidence: Evidence, decision: Decision) -> None:
+        message = unconfirmed.message
+        self.refuted_counts[evidence.value] += 1
         self._context.log.warning(
             "outcome_refuted",
             message=message.submission.message,
             attempt=unconfirmed.attempt,
             target=unconfirmed.target,
             status=unconfirmed.outcome.status.value,
-            evidence=evidence,
-            decision=decision,
+            evidence=evidence.value,
+            decision=decision.value,
             time_left_us=message.time_left_us(self._context.now_us()),
         )
 
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
@@ -13,7 +14,7 @@
 from honeybarrow.delivery.outcome import AttemptOutcome, Evidence, PendingVerdict, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
-from honeybarrow.node.http_outcome import DELIVERED_STATUS, END_STATUSES, classify_response
+from honeybarrow.node.http_outcome import DELIVERED_STATUS, END_STATUSES, GONE_STATUS, classify_response
 from honeybarrow.node.response_pairing import ResponsePairing, needs_confirmation
 from honeybarrow.node.sockets import write_now
 
@@ -23,6 +24,7 @@
 
 
 _THROTTLING_START = b"HTTP/1.1 429"
+_GONE = re.compile(rb"HTTP/1\.[01] %d" % GONE_STATUS)
 MAX_SURPLUS_BYTES = 16_384  # read of a surplus response, for its Retry-After
 
 
@@ -72,6 +74,7 @@
         self._is_response_premature = False  # it began before the end of its request was written
         self._surplus = b""
         self._last_response: UnconfirmedResponse | None = None  # of the last call, if it awaits a verdict
+        self._last_failed_message = ""  # whose call was the last one and may be repeated
         # Confirmed by silence alone; no later response shows that their requests were answered at all.
         self._confirmed: list[UnconfirmedResponse] = []
 
@@ -151,20 +154,26 @@
 
     def _on_surplus(self, data: bytes) -> None:
         """Handle bytes that belong to no request: outcomes read on this connection may be wrong."""
-        if self.call is not None:  # its request has not been written yet
-            self.close()
-            return
         if not self._surplus:
             self.pool.report_surplus(self, data)
         self._surplus += data
+        if self.call is not None:  # its request has not been written yet
+            self.close()
+            return
         if _may_become_throttling(self._surplus):
             self.pool.await_response_rest(self)
             return
+        if self._is_surplus_gone():
+            self.pool.report_over((*self.doubtful_messages, self._last_failed_message))
         retry_after_us = _read_retry_after(self._surplus)
         if retry_after_us:
             self.pool.report_retry_after(self.target, retry_after_us)
         self.close()
 
+    def _is_surplus_gone(self) -> bool:
+        """Return whether a surplus response says that a message is over; which one is unknown."""
+        return _GONE.search(self._surplus) is not None
+
     def confirm_by_silence(self) -> None:
         """Confirm the outcomes read on this connection if it has been silent for long enough."""
         if self._surplus or self._is_response_incomplete():
@@ -212,9 +221,10 @@
     def _settle(self, verdict: Verdict) -> None:
         """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
         if self._surplus:
+            evidence = Evidence.ENDED_RESPONSE if self._is_surplus_gone() else Evidence.SURPLUS_RESPONSE
             doubtful, self._confirmed = [*self._confirmed, *self.pairing.take_unconfirmed()], []
             for response in doubtful:
-                response.verdict.refute(Evidence.SURPLUS_RESPONSE)
+                response.verdict.refute(evidence)
             return
         # Only a copy in the last response time can have left a true response outstanding, unless each request
         # since was written before the true response to the one before it.
@@ -272,6 +282,10 @@
             self.target, now_us - int(self._request_written_at_s * 1e6)
         )
         is_final = outcome.status is AttemptStatus.OK or outcome.is_over
+        self._last_failed_message = "" if is_final else call.payload.message
+        if outcome.is_over and self.response_status == GONE_STATUS:
+            for earlier in self.pairing.take_unconfirmed():
+                earlier.verdict.refute(Evidence.ENDED_RESPONSE)
         if not self.pairing.is_next_certain and outcome.is_over:
             outcome = replace(outcome, owes_notification=True)
         elif not self.pairing.is_next_certain and not is_final:
--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from twisted.internet.defer import Deferred, succeed
 
@@ -32,7 +32,8 @@
     ``max_idle`` limits the idle connections, ``max_connections`` the idle and active ones together.
     ``can_send_to`` returns whether the current endpoint list allows new calls to a target. ``report_surplus``
     is called with each response that no request accounts for, ``report_retry_after`` with the target and the
-    wait of one that has told to wait.
+    wait of one that has told to wait, and ``report_over`` with messages of which one may be over by such a
+    response.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         max_connections: int = UNLIMITED_CONNECTIONS,
         report_surplus: ReportSurplus = lambda response: None,
         report_retry_after: Callable[[str, int], object] = lambda target, retry_after_us: None,
+        report_over: Callable[[Iterable[str]], object] = lambda messages: None,
     ) -> None:
         self.network, self.clock, self.max_connections = network, clock, max_connections
         self.connect_timeout_s = connect_timeout_us / 1e6
@@ -56,6 +58,7 @@
         self._responses_read_at_s = clock.seconds()
         self.connects_started = 0
         self._report_surplus, self.report_retry_after = report_surplus, report_retry_after
+        self.report_over = report_over
         self.reuse_policy = ReusePolicy()
         self.keep_alive = KeepAlivePolicy()
         self.rate_limited_log = RateLimitedLog(clock.seconds)
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -8,7 +8,7 @@
 import logging
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.error import CannotListenError
@@ -105,6 +105,7 @@
             budget.endpoint_connections,
             self.surplus_responses.record,
             lambda target, retry_after_us: self.forwarder.on_retry_after(target, retry_after_us),
+            self._on_reported_over,
         )
 
     def _build_forwarder(self) -> Forwarder:
@@ -273,6 +274,10 @@
         if not self.write_ahead_log.retry():
             self._log_retry = self.reactor.callLater(LOG_RETRY_INTERVAL_S, self._retry_log)
 
+    def _on_reported_over(self, messages: Iterable[str]) -> None:
+        for message in messages:
+            self.forwarder.on_reported_over(message)
+
     # endpoint list
 
     def _on_list_update(self, update: EndpointList) -> None:
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -256,8 +256,12 @@
 
         By the protocol a notification for a message that is already over has no effect.
         """
+        result = FinalResult(message, is_returned=False)
         if message in self.write_ahead_log.pending_messages.by_id:
-            self.notify_recovered_result(FinalResult(message, is_returned=False))
+            self.notify_recovered_result(result)
+        else:  # the log has it as delivered and can't be written now
+            self.notifications.add(result)
+        self.notifications.flush()
 
     def select_notifiable(self, messages: Iterable[str]) -> list[str]:
         """Return the messages whose final results may be notified now."""
--- a/honeybarrow/soak/plan.py
+++ b/honeybarrow/soak/plan.py
@@ -81,7 +81,7 @@
     rate_per_s: float = 6.0  # requests per second to each forwarder
     faults: int = 60
     descriptors: int = 256  # limit of open sockets of each forwarder
-    end_share: float = 0.0  # share of the messages that are withdrawn or have no attempt left
+    end_share: float = 0.15  # share of the messages that are withdrawn or have no attempt left
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
 
 
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -168,3 +168,35 @@
     assert harness.count_calls("m1") == 1
     assert ("m1" in notified) is (is_reused or data != GONE)
     harness.close()
+
+
+def copy_hides(harness: ForwarderHarness, copied: bytes) -> PeerConnection:
+    """Let a copy of an earlier response be taken for that of m1, whose true response is still to come."""
+    call = call_message(harness, "m1", is_reused=True)
+    call.write(copied)
+    finished = harness.process.forwarder.counters.outcomes
+    harness.advance_until(lambda: sum(finished.values()) == 2)
+    return call
+
+
+# Guards against: a message is called again after its 410 came as a surplus or for another message.
+@pytest.mark.parametrize("copied", [OK, FULL])
+@pytest.mark.parametrize("is_read_as_response", [False, True])
+def test_a_410_behind_a_copy_ends_each_message_that_it_may_be_for(
+    tmp_path: Path, copied: bytes, is_read_as_response: bool
+) -> None:
+    harness = ForwarderHarness(tmp_path)
+    call = copy_hides(harness, copied)
+    expected = {"m1"}
+    if is_read_as_response and copied is OK:  # after a failure the connection carries no other call
+        harness.submit("m2", left_ms=LEFT_MS)
+        assert harness.read_call("m2") is call
+        expected = {"m1", "m2"}
+    call.write(GONE)
+    notified: set[str] = set()
+    for _ in range(int(SECONDS / 0.5)):
+        harness.advance(0.5)
+        notified |= {each["message"] for each in harness.receive_notifications()}
+    assert notified == expected
+    assert [harness.count_calls(message) for message in sorted(expected)] == [1] * len(expected)
+    harness.close()
