--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -14,7 +14,7 @@
 from honeybarrow.delivery.outcome import AttemptOutcome, Evidence, PendingVerdict, Verdict
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.endpoint_list import SocketAddress
-from honeybarrow.node.http_outcome import DELIVERED_STATUS, END_STATUSES, GONE_STATUS, classify_response
+from honeybarrow.node.http_outcome import DELIVERED_STATUS, END_STATUSES, classify_response
 from honeybarrow.node.response_pairing import ResponsePairing, needs_confirmation
 from honeybarrow.node.sockets import write_now
 
@@ -24,7 +24,7 @@
 
 
 _THROTTLING_START = b"HTTP/1.1 429"
-_GONE = re.compile(rb"HTTP/1\.[01] %d" % GONE_STATUS)
+_END = re.compile(rb"HTTP/1\.[01] (?:%d|%d)" % END_STATUSES)
 MAX_SURPLUS_BYTES = 16_384  # read of a surplus response, for its Retry-After
 
 
@@ -163,16 +163,16 @@
         if _may_become_throttling(self._surplus):
             self.pool.await_response_rest(self)
             return
-        if self._is_surplus_gone():
+        if self._is_surplus_end():
             self.pool.report_over((*self.doubtful_messages, self._last_failed_message))
         retry_after_us = _read_retry_after(self._surplus)
         if retry_after_us:
             self.pool.report_retry_after(self.target, retry_after_us)
         self.close()
 
-    def _is_surplus_gone(self) -> bool:
+    def _is_surplus_end(self) -> bool:
         """Return whether a surplus response says that a message is over; which one is unknown."""
-        return _GONE.search(self._surplus) is not None
+        return _END.search(self._surplus) is not None
 
     def confirm_by_silence(self) -> None:
         """Confirm the outcomes read on this connection if it has been silent for long enough."""
@@ -221,7 +221,7 @@
     def _settle(self, verdict: Verdict) -> None:
         """Give a verdict, at the end of the connection, on all outcomes that silence has not confirmed."""
         if self._surplus:
-            evidence = Evidence.ENDED_RESPONSE if self._is_surplus_gone() else Evidence.SURPLUS_RESPONSE
+            evidence = Evidence.ENDED_RESPONSE if self._is_surplus_end() else Evidence.SURPLUS_RESPONSE
             doubtful, self._confirmed = [*self._confirmed, *self.pairing.take_unconfirmed()], []
             for response in doubtful:
                 response.verdict.refute(evidence)
@@ -283,7 +283,7 @@
         )
         is_final = outcome.status is AttemptStatus.OK or outcome.is_over
         self._last_failed_message = "" if is_final else call.payload.message
-        if outcome.is_over and self.response_status == GONE_STATUS:
+        if outcome.is_over:
             for earlier in self.pairing.take_unconfirmed():
                 earlier.verdict.refute(Evidence.ENDED_RESPONSE)
         if not self.pairing.is_next_certain and outcome.is_over:
--- a/honeybarrow/soak/forwarder_process.py
+++ b/honeybarrow/soak/forwarder_process.py
@@ -145,9 +145,12 @@
         """Send SIGTERM, then SIGKILL after :data:`KILL_DELAY_S`, and start the next process."""
         self._begin_stop()
         self.send_signal(signal.SIGTERM)
-        await asyncio.sleep(KILL_DELAY_S)
+        kill_s = time.monotonic() + KILL_DELAY_S
+        exited = asyncio.create_task(self._wait_for_exit())
+        await asyncio.wait((exited,), timeout=KILL_DELAY_S)
+        await asyncio.sleep(kill_s - time.monotonic())
         self.send_signal(signal.SIGKILL)
-        await self._wait_for_exit()
+        await exited
         await self._restart(wall_step_s)
 
     async def restart_if_exited(self) -> None:
