A refuted delivery is notified and never sent again

With a copy whose true response is still to come no evidence shows that a call is allowed. Cause: a surplus resumed a delivery by a call (Forwarder._resume), the last path that opened a message again after its end. Change: decide() has no such row: a refuted delivery is notified whatever refutes it, right if it was delivered (no effect) and if not (owed). _resume, on_redelivered and the count of repeats are gone: 40 lines less. Price: a message whose 200 was a copy is not delivered any more but reported as failed. Not called again after a kill is a delivery that was confirmed; an unconfirmed one still is.

--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -291,12 +291,12 @@
             "is_news = True",
         ),
     ),
-    "a surplus that ends a message resumes another": _mutant(
+    "a refuted delivery stays a delivery": _mutant(
         COPY_FAULTS,
         (
             "delivery/refutation.py",
-            "if evidence is Evidence.SURPLUS_RESPONSE and refusal is None:",
-            "if refusal is None:",
+            "return Decision.NOTIFY if ends_message else Decision.AMBIGUOUS",
+            "return Decision.AMBIGUOUS",
         ),
         forwarders=4,
         faults=100,
--- a/honeybarrow/delivery/forwarder.py
+++ b/honeybarrow/delivery/forwarder.py
@@ -50,7 +50,7 @@
     RetryAfterReceived,
     TimerFired,
 )
-from honeybarrow.message_guard import MessageGuard, Refusal, Result, Violation, may_resume
+from honeybarrow.message_guard import MessageGuard, Refusal, Result, Violation
 from honeybarrow.policy.sender import Sender
 from honeybarrow.ports import (
     CallObserver,
@@ -123,14 +123,10 @@
             get_shutdown_age_us,
         )
         self.counters, self.rng = self.context.counters, random.Random(seed)
-        self.unconfirmed = UnconfirmedOutcomes(
-            self.context, self._queue_event, self._resume_later, self._notify_refuted
-        )
+        self.unconfirmed = UnconfirmedOutcomes(self.context, self._queue_event, self._notify_refuted)
         self._attempts = AttemptRunner(self.context, self._on_attempt_finished, self.unconfirmed)
-        # Called with a message whose delivery was refuted and that can't be sent again.
+        # Called with a message whose delivery was refuted.
         self.on_refuted_delivery: Callable[[str], None] = _do_nothing
-        # Called with a message that is sent again after its delivery was refuted, and with its result.
-        self.on_redelivered: Callable[[str, DeliveryResult], None] = _do_nothing
         self._pending_events: list[Event] = []
         self._arrived_this_turn: list[InFlightMessage] = []
         self._is_turn_logged = True  # whether the log records of this turn have been written
@@ -370,35 +366,8 @@
             # At once: a kill before the end of the turn would let the next process send the message again.
             message_log.commit()
 
-    def _resume_later(self, message: InFlightMessage, started_us: int) -> None:
-        """Resume a message after its delivery was refuted, once the turn that completed it is over."""
-        self.context.clock.callLater(0, self._resume, message, started_us)
-
-    def _resume(self, message: InFlightMessage, started_us: int) -> None:
-        submission, now_us = message.submission, self.now_us()
-        if submission.message in self._messages:
-            if self._messages[submission.message] is message:
-                self._resume_later(message, started_us)
-            return
-        message.record_ambiguous(started_us)
-        left_us = message.time_left_us(now_us)
-        message_class = self.sender.classes[submission.class_name]
-        if may_resume(message_class, left_us, has_ambiguous_attempt=True, is_time_certain=True) is not None:
-            self.on_refuted_delivery(submission.message)
-            return
-        resumed = replace(
-            submission,
-            time_left_us=left_us,
-            on_accepted=_do_nothing,
-            is_resumed=True,
-            attempts=message.attempts,
-            ambiguous_age_us=now_us - (message.ambiguous_since_us or started_us),
-        )
-        result = self.submit(resumed)
-        result.addCallback(lambda final: self._on_resumed_result(submission.message, final))
-
     def _notify_refuted(self, message: InFlightMessage) -> None:
-        """Notify the failure of a message that is not sent again although its delivery was refuted."""
+        """Notify the failure of a message whose delivery was refuted."""
         message_id = message.submission.message
         if message_id not in self._messages:
             message_log = self.context.message_log
@@ -420,10 +389,6 @@
         self.context.message_log.commit()
         self._queue_event(MessageExpired(message_id))
 
-    def _on_resumed_result(self, message_id: str, result: DeliveryResult) -> None:
-        self.unconfirmed.redelivered_count += isinstance(result, Delivered)
-        self.on_redelivered(message_id, result)
-
     def _complete(self, message: InFlightMessage, result: DeliveryResult) -> None:
         """Deliver the final result of a message. All results pass through this method."""
         if message.is_completed:
--- a/honeybarrow/delivery/unconfirmed.py
+++ b/honeybarrow/delivery/unconfirmed.py
@@ -1,9 +1,8 @@
 """Outcomes that may belong to another request, kept until a verdict confirms or refutes them.
 
 A confirmed outcome is recorded in the message log. After a refuted one :mod:`honeybarrow.delivery.refutation`
-decides: the message is resumed, like a message of an earlier process, or the platform is notified, or the
-attempt counts as one that may have run. Until the verdict the log has the attempt as unfinished, so that
-after a crash it counts as ambiguous too.
+decides: the platform is notified, or the attempt counts as one that may have run. Until the verdict the log
+has the attempt as unfinished, so that after a crash it counts as ambiguous.
 
 A delivery that was confirmed by silence may be refuted later; the log then records its message again.
 """
@@ -19,7 +18,6 @@
 from honeybarrow.delivery.refutation import Decision, decide
 from honeybarrow.delivery.submission import DeliveryContext
 from honeybarrow.events import Event, OutcomeRefuted
-from honeybarrow.message_guard import may_resume
 
 if TYPE_CHECKING:
     from honeybarrow.delivery.attempts import InFlightMessage
@@ -41,22 +39,19 @@
 class UnconfirmedOutcomes:
     """Carries out the verdicts on the outcomes of one forwarder.
 
-    ``queue_event`` passes an event to the policy. ``resume`` receives the message of a refuted delivery that
-    is sent again, and the start of its attempt; ``notify`` one that is not.
+    ``queue_event`` passes an event to the policy, and ``notify`` receives the message of a refuted delivery.
     """
 
     def __init__(
         self,
         context: DeliveryContext,
         queue_event: Callable[[Event], None],
-        resume: Callable[[InFlightMessage, int], None],
         notify: Callable[[InFlightMessage], None],
     ) -> None:
         self._context, self._queue_event = context, queue_event
-        self._resume, self._notify = resume, notify
+        self._notify = notify
         self.count = 0  # outcomes without a verdict
         self.refuted_counts: Counter[str] = Counter()  # by evidence
-        self.redelivered_count = 0  # refuted deliveries whose repeat was answered as delivered
         self._is_commit_scheduled = False
 
     def add(self, unconfirmed: UnconfirmedOutcome) -> None:
@@ -78,19 +73,13 @@
         self._schedule_commit()
 
     def _on_refuted(self, unconfirmed: UnconfirmedOutcome) -> None:
-        message, context = unconfirmed.message, self._context
         verdict = unconfirmed.outcome.verdict
         evidence = (verdict.evidence if verdict is not None else None) or Evidence.CONNECTION_END
-        message_class = context.sender.classes[message.submission.class_name]
-        left_us = message.time_left_us(context.now_us())
-        refusal = may_resume(message_class, left_us, has_ambiguous_attempt=True, is_time_certain=True)
-        decision = decide(evidence, unconfirmed.ends_message, refusal)
+        decision = decide(unconfirmed.ends_message)
         self._log_refuted(unconfirmed, evidence, decision)
         match decision:
-            case Decision.RESUME:
-                self._resume(message, unconfirmed.started_us)
             case Decision.NOTIFY:
-                self._notify(message)
+                self._notify(unconfirmed.message)
             case Decision.AMBIGUOUS:
                 self._record_as_ambiguous(unconfirmed)
 
--- a/honeybarrow/node/event_log.py
+++ b/honeybarrow/node/event_log.py
@@ -106,7 +106,7 @@
             "connects=%d pending_notifications=%d log_bytes=%d rss_kb=%d accepted=%d rejected=%d "
             "delivered=%d refused=%d failed=%d bad_requests=%d evictions=%s rejections=%s outcomes=%s "
             "guard_violations=%s waiting_records=%d surplus_responses=%s "
-            "unconfirmed=%d refuted=%d refuted_by=%s redelivered=%d ends_notified=%d",
+            "unconfirmed=%d refuted=%d refuted_by=%s ends_notified=%d",
             self._max_lag_s * 1000, self.forwarder.open_count, self.forwarder.calls_in_flight,
             len(self.front.connections),
             self.pool.idle_count, self.pool.connects_started, len(self.notifications.unacknowledged),
@@ -116,7 +116,7 @@
             counts.outcomes, {rule.value: n for rule, n in self.forwarder.guard.violation_counts.items()},
             self.write_ahead_log.waiting_record_count, dict(self.surplus_responses.counts),
             unconfirmed.count, unconfirmed.refuted_counts.total(), dict(unconfirmed.refuted_counts),
-            unconfirmed.redelivered_count, counts.ends_notified,
+            counts.ends_notified,
         )  # fmt: skip
         self._max_lag_s = 0.0
 
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -86,7 +86,6 @@
     ) -> None:
         self.forwarder, self.write_ahead_log, self.notifications = forwarder, write_ahead_log, notifications
         self.guard = forwarder.guard
-        forwarder.on_redelivered = self.on_result
         forwarder.on_refuted_delivery = self._fail_refuted_delivery
         self.is_destination_listed, self.rng = is_destination_listed, rng
         self.tenants = {tenant.name: None for tenant in forwarder.settings.tenants}
@@ -252,7 +251,7 @@
         self.notify_result(result)
 
     def _fail_refuted_delivery(self, message: str) -> None:
-        """Notify the failure of a message that may not have been delivered and can't be sent again.
+        """Notify the failure of a message that may not have been delivered.
 
         By the protocol a notification for a message that is already over has no effect.
         """
--- a/honeybarrow/soak/rules.py
+++ b/honeybarrow/soak/rules.py
@@ -259,15 +259,19 @@
 
     def _was_unread(self, forwarder: str, written_s: float, called_s: float) -> bool:
         """Return whether the process ended right after a response was written, and another one called."""
-        ends_s = [
-            event.time_s
+        ends = [
+            Interval(
+                event.time_s - (EXIT_DETECTION_S if event.detail.startswith("exited") else 0.0), event.time_s
+            )
             for event in self.history.by_forwarder(EventKind.PROCESS).get(forwarder, ())
             if event.detail == "SIGKILL" or event.detail.startswith(("exited", "ended"))
         ]
         is_later_process = self._process_number(forwarder, called_s) > self._process_number(
             forwarder, written_s
         )
-        return is_later_process and any(written_s <= end_s <= written_s + UNREAD_S for end_s in ends_s)
+        return is_later_process and any(
+            end.start_s <= written_s + UNREAD_S and written_s <= end.end_s for end in ends
+        )
 
     def _check_idempotency(self, message: _Message) -> None:
         """Check that a call that may have been executed is repeated only as its class permits."""
