An end behind the start of a cut copy counts, where both read as one invalid response

Callers saw: in a whole run, test_copied_responses[cut-after_request] failed once; played again three times it failed once: 'called 0.470 s after an endpoint told that it is over'. Cause, by its story: a copy of a 200 cut after a few bytes, then the true 410: the reader takes 'HTTP/1.1 2HTTP/1.1 410 Gone' for one invalid response, an ambiguous failure that is repeated. The same for a 410 within the head of a 503 that is cut. Change: ResponseReader keeps the bytes at which it gave a response up (rejected, bounded by its limits) and removes a head only once it is valid; classify_partial looks for the status line of an end in them. Such an end is notified.

--- a/honeybarrow/http/client.py
+++ b/honeybarrow/http/client.py
@@ -86,6 +86,7 @@
         self._is_reusable = True
         self.status: int | None = None  # set once the status line of the final response is complete
         self.has_started = False
+        self.rejected = b""  # the bytes at which an invalid response was given up
 
     @property
     def announced_status(self) -> int | None:
@@ -136,6 +137,7 @@
 
     def _fail(self, reason: str) -> InvalidResponse:
         self._part = _Part.BROKEN
+        self.rejected = bytes(self._buffer)
         self._buffer.clear()
         return InvalidResponse(self.status, reason)
 
@@ -280,12 +282,13 @@
                 raise GrammarError("head too long")
             return None
         head = bytes(buffer[:end])
-        del buffer[: end + 4]
         if has_bare_line_feed(head):
             raise GrammarError("bare line feed")
         if _STATUS_LINE_START.search(head, 1):
             raise GrammarError("a status line within the head")
-        return parse_fields(head.split(b"\r\n")[1:])
+        fields = parse_fields(head.split(b"\r\n")[1:])
+        del buffer[: end + 4]
+        return fields
 
     def _begin_body(self, status: int, fields: dict[bytes, bytes], events: list[Event]) -> bool:
         """Determine the framing of the body (RFC 9112 6.3)."""
--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -24,7 +24,7 @@
 
 
 _THROTTLING_START = b"HTTP/1.1 429"
-_END = re.compile(rb"HTTP/1\.[01] (?:%d|%d)" % END_STATUSES)
+_END = re.compile(rb"HTTP/1\.[01] (%d|%d)" % END_STATUSES)
 MAX_SURPLUS_BYTES = 16_384  # read of a surplus response, for its Retry-After
 
 
@@ -258,6 +258,10 @@
         response_status = self.response_status
         if self.reader is not None and self.reader.status == DELIVERED_STATUS:
             return AttemptOutcome(AttemptStatus.OK)
+        rejected_end = _END.search(self.reader.rejected) if self.reader is not None else None
+        if rejected_end is not None:  # a copy that is cut off, and the true response behind it
+            response_status = int(rejected_end[1])
+            return replace(classify_response(response_status, {}, ()), owes_notification=True)
         head = self.head or http.Head(response_status or 0, {})
         outcome = classify_response(head.status, head.fields, ())
         if response_status in END_STATUSES:
--- a/tests/test_end_search.py
+++ b/tests/test_end_search.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -49,6 +50,7 @@
 def ignore_cut_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     """A 410 or 504 counts only if it is complete."""
     monkeypatch.setattr(http_connection, "END_STATUSES", ())
+    monkeypatch.setattr(http_connection, "_END", re.compile(rb"(?!)"))
 
 
 def _change_outcome(monkeypatch: pytest.MonkeyPatch, status: int, **changes: Any) -> None:
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -73,6 +73,8 @@
     "head without its body": b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nabc",
     "invalid field": b"HTTP/1.1 410 Gone\r\nspoilt\r\n\r\n",
     "endless head": b"HTTP/1.1 410 Gone\r\nX: " + b"x" * 70_000,
+    "behind the start of a copy": b"HTTP/1.1 2HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
+    "behind a 503 that is cut": b"HTTP/1.1 503 No\r\nContHTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
     "interim response before it": b"HTTP/1.1 103 Hm\r\n\r\nHTTP/1.1 410 Gone\r\nConte",
 }
 CUT_ENDS = {"closed": close, "reset": reset, "silence": stay}
