Review case 3: after a kill, resumed messages go by the old list to another partner

Change: review/3 kills the forwarder once while it holds four messages. Meanwhile their target is replaced, and a target of another group gets its address. Nothing of the program is changed. Where the list is asked for, ForwarderProcess.start resumes messages before it has asked.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,77 @@
+"""After a restart, messages go by the old list to the address of a target that belongs to another partner."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+CASE = Path(__file__).resolve().parent
+sys.path.insert(0, str(CASE.parent))
+
+from standins import TROUBLE, CannotRunError, Stage, entry, play, read_message, service, settings  # noqa: E402
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+DOWN_S = 2.5  # from SIGKILL to the next start
+MESSAGES = 4
+LEFT_MS = 11_000
+WAIT_MS = 1500  # that the full target tells
+
+
+async def scenario(stage: Stage) -> list[str]:
+    group_at: dict[str, int] = {}  # by listener: the group of the target that has its address now
+    breaks: list[str] = []
+    served: set[str] = set()
+
+    def target(listener: str) -> Handler:
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while (message := await read_message(reader)) is not None:
+                name, group = message[1]["x-correlation-id"], group_at[listener]
+                if stage.index == 1:
+                    stage.record.write(f"target at {listener}, group {group}: call {name}, answers 429")
+                    wait = f"X-Come-Back-Ms: {WAIT_MS}\r\nContent-Length: 0\r\n\r\n"
+                    writer.write(b"HTTP/1.1 429 Full\r\n" + wait.encode())
+                    continue
+                stage.record.write(f"target at {listener}, group {group}: call {name}, answers 200")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                served.add(name)
+                if group != 7:
+                    breaks.append(f"{name} (dest=7) was sent to a target of group {group} and ran there")
+
+        return handle
+
+    await stage.start_platform()
+    ports = {name: (await stage.serve(target(name)))[1] for name in ("p", "q", "r")}
+    group_at |= {"p": 7, "q": 8}
+    stage.endpoints = [entry("s-1", ports["p"], 7), entry("s-2", ports["q"], 8)]
+    configuration = settings([service("notice", "free", 3000, 12000), service("pay", "single_shot", 3000, 12000)])
+    known = stage.whole_list()
+    stage.write_config(configuration, known)
+    process = await stage.start_forwarder()
+    for number in range(MESSAGES):
+        _, status = await stage.submit(f"m{number}", ("notice", "pay")[number % 2], LEFT_MS, 7)
+        if status != 202:
+            raise CannotRunError("a message was not taken on")
+    await asyncio.sleep(0.3)
+
+    if TROUBLE:
+        stage.kill(process)
+        process.wait()
+    await asyncio.sleep(DOWN_S / 2)
+    # One target is replaced by a new one; another new one gets the address of the one that has gone.
+    group_at |= {"p": 8, "r": 7}
+    stage.change_list(
+        entry("s-1", ports["p"], 7, "left"), entry("s-3", ports["r"], 7), entry("s-4", ports["p"], 8)
+    )
+    await asyncio.sleep(DOWN_S / 2)
+    if TROUBLE:
+        stage.write_config(configuration, known)  # the list as this forwarder last had it
+        await stage.start_forwarder()
+    await asyncio.sleep(8.0)
+    if not served:
+        raise CannotRunError("no message was sent")
+    return breaks
+
+
+play(CASE, scenario)
