--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,7 @@
 
 
 async def scenario(stage: Stage) -> list[str]:
+    """Play the case; return the breaks of the rule."""
     delivered: dict[str, float] = {}
     calls: dict[str, int] = {}
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -68,6 +68,7 @@
 
 
 async def scenario(stage: Stage) -> list[str]:
+    """Play the case; return the breaks of the rule."""
     delivered: dict[str, float] = {}
     withdrawn = asyncio.Event()
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,6 +20,7 @@
 
 
 async def scenario(stage: Stage) -> list[str]:
+    """Play the case; return the breaks of the rule."""
     group_at: dict[str, int] = {}  # by listener: the group of the target that has its address now
     breaks: list[str] = []
     served: set[str] = set()
@@ -45,7 +46,9 @@
     ports = {name: (await stage.serve(target(name)))[1] for name in ("p", "q", "r")}
     group_at |= {"p": 7, "q": 8}
     stage.endpoints = [entry("s-1", ports["p"], 7), entry("s-2", ports["q"], 8)]
-    configuration = settings([service("notice", "free", 3000, 12000), service("pay", "single_shot", 3000, 12000)])
+    configuration = settings(
+        [service("notice", "free", 3000, 12000), service("pay", "single_shot", 3000, 12000)]
+    )
     known = stage.whole_list()
     stage.write_config(configuration, known)
     process = await stage.start_forwarder()
--- a/review/standins.py
+++ b/review/standins.py
@@ -335,6 +335,9 @@
 
     async def run() -> int:
         stage = Stage(case)
+        this = asyncio.current_task()
+        assert this is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         try:
             stage.record.write(f"TROUBLE={int(TROUBLE)}")
             breaks = await asyncio.wait_for(scenario(stage), 110)
@@ -344,7 +347,7 @@
                 stage.record.write("the rule held")
             status = BROKEN if breaks else HELD
             print("\n".join(breaks) or "the rule held")
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
             stage.record.write(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}", file=sys.stderr)
             status = NOT_RUN
