Field lines are read in linear time: one bad head stopped the process for minutes

Change: one quantifier for the rest of the line, whitespace stripped afterwards; the chunk size has a named expression.

--- a/honeybarrow/http/client.py
+++ b/honeybarrow/http/client.py
@@ -21,6 +21,7 @@
 # Within a head it shows that the head was cut off and another response follows.
 _STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 _STATUSES_WITHOUT_BODY = (204, 304)
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +196,7 @@
                 raise GrammarError("chunk line too long")
             return False
         size = bytes(buffer[:end]).split(b";")[0].strip()
-        if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size):
+        if not _CHUNK_SIZE.fullmatch(size):
             raise GrammarError("chunk size is not a hexadecimal number")
         del buffer[: end + 2]
         self._bytes_left = int(size, 16)
--- a/honeybarrow/http/grammar.py
+++ b/honeybarrow/http/grammar.py
@@ -10,7 +10,10 @@
 MAX_FIELD_LINES = 64
 MAX_BODY_BYTES = 65536  # defined by the platform's protocol
 
-_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+# The value includes the whitespace around it, which is stripped afterwards. Matched by the expression, a run
+# of spaces could be divided in many ways, and all of them would be tried if the line is invalid.
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)")
+_OPTIONAL_WHITESPACE = b" \t"  # RFC 9110 5.6.3
 # Fields that must not be repeated: parsers could disagree on the body length or the host (request smuggling).
 SINGLETON_FIELDS = frozenset((b"content-length", b"transfer-encoding", b"host"))
 
@@ -34,7 +37,7 @@
         match = _FIELD.fullmatch(line)
         if match is None:
             raise GrammarError("not a field line")
-        name, value = match[1].lower(), match[2]
+        name, value = match[1].lower(), match[2].strip(_OPTIONAL_WHITESPACE)
         if name not in fields:
             fields[name] = value
         elif name in SINGLETON_FIELDS:
