A number too large for a float spoils its report or entry alone

Seen (review report, reproduced here): a 503 whose X-Backend-Load holds a number too large for a float ends as a reset that may have run, so a message that may not be repeated fails instead of going on. In a list, one such weight ends the whole watch, each time it is opened. Cause: float() of a large integer raises OverflowError, which is no ValueError; parse_load_report and parse_endpoint_list did not catch it. Change: both catch it: the report is ignored, the entry is skipped and logged. Tests: the outcome of six statuses is the same with any spoilt report (generated); the entry is skipped. The load advice of mail has floats from text only, which become infinite.

--- a/honeybarrow/node/endpoint_list.py
+++ b/honeybarrow/node/endpoint_list.py
@@ -140,7 +140,7 @@
     for row in rows:
         try:
             endpoint, address = _parse_entry(row)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             skipped += 1
             if skipped == 1:  # only the first is logged in full; a damaged list may have thousands
                 remedy = "correct this entry in discovery"
--- a/honeybarrow/node/http_outcome.py
+++ b/honeybarrow/node/http_outcome.py
@@ -22,7 +22,7 @@
     try:
         report = json.loads(value)
         row = tuple(float(report[name]) for name in fields)
-    except (ValueError, TypeError, KeyError, RecursionError):
+    except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
         return ()
     return row if all(math.isfinite(each) and each >= 0 for each in row) else ()
 
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -40,7 +40,8 @@
     assert update.endpoints == (Endpoint("s1", 3, EndpointState.READY, "m", "", 2.5),)
     assert update.addresses == {"s1": ("10.0.0.1", 9)}
     invalid = ({"status": "?"}, {"group": "3"}, {"address": "x"}, {"name": ""}, {"weight": "1"})
-    for changes in (*invalid, {"address": "name.example:9"}):  # host names are not supported
+    # Host names are not supported, and the weight is too large for a float.
+    for changes in (*invalid, {"address": "name.example:9"}, {"weight": 10**400}):
         assert parse_item(encode_item(**changes)).endpoints == ()
     for bad in (b"", b"[]", b'{"endpoints":[]}', b'{"index":1}', b"[" * 5000):
         with pytest.raises(EndpointListError):
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from honeybarrow.delivery import AttemptOutcome
 from honeybarrow.delivery.outcome import Verdict
@@ -56,6 +59,15 @@
         assert parse_load_report(bad, ("x0", "x1")) == ()
 
 
+@pytest.mark.parametrize("status", [200, 410, 429, 500, 503, 504])
+@given(st.binary(max_size=40) | st.integers().map(lambda n: b'{"x0":%d}' % 10 ** (abs(n) % 999)))
+@example(b'{"x0":%d}' % 10**400)
+def test_a_spoilt_load_report_does_not_change_the_outcome(status: int, report: bytes) -> None:
+    """Guards against a 503 that counts as an attempt that may have run, by an exception in its report."""
+    outcome = classify_response(status, {b"x-backend-load": report}, ("x0",))
+    assert replace(outcome, load_report=()) == classify_response(status, {}, ())
+
+
 def test_a_call_carries_the_message_unchanged_and_its_connection_is_reused() -> None:
     calls = CallBench()
     calls.call()
