A log reservation belongs to its message, not to the next commit of any record

A 410 or an acknowledged notification that commits between the reading of requests and their turn frees the space that these requests were promised, and up to twice the share of pending messages is written. Change: LogSpace keeps reservations by message; one ends when the acceptance of its message is written, when that write fails, or when its message ends without (withdrawn, rejected, failed). record_attempt_started no longer saves and restores the sum.

--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -9,6 +9,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from twisted.internet.defer import Deferred
 
@@ -34,6 +35,7 @@
 from honeybarrow.settings import Idempotency
 
 MAX_REMEMBERED_IDS = 4096  # recent message ids kept to reject duplicates of completed messages
+Result = TypeVar("Result")
 SendResponse = Callable[[bytes, bool], None]  # response bytes, whether to close the connection afterwards
 
 
@@ -164,6 +166,7 @@
                 request.accept,
             )
         )
+        result.addBoth(self._release_reservation, message)
         result.addCallbacks(request.on_result, ignore_cancelled)
         return lambda: request.cancel(result)
 
@@ -184,6 +187,11 @@
             return "no room on disk"
         return ""
 
+    def _release_reservation(self, result: Result, message: str) -> Result:
+        """Release the log capacity of a message that has ended without having been recorded."""
+        self.write_ahead_log.release_reservation(message)
+        return result
+
     def _idempotency_of(self, class_name: str) -> Idempotency:
         return self.forwarder.sender.classes[class_name].idempotency
 
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -16,6 +16,7 @@
 from honeybarrow.events import AttemptStatus
 from honeybarrow.log_timeline import ClockAnchor, start_timeline
 from honeybarrow.node.log_records import decode_records, encode_record, max_bytes_of_message
+from honeybarrow.node.log_space import LogSpace
 from honeybarrow.node.segment_files import Segment, SegmentFiles
 from honeybarrow.recovery import (
     AttemptFinished,
@@ -28,7 +29,6 @@
 )
 
 SEGMENT_COUNT = 16  # segments that fit into the size limit
-MAX_PENDING_SHARE = 0.35  # share of the size limit available to records of pending messages
 COMPACTION_SHARE = 0.5  # share of the size limit at which compaction starts
 MIN_SEGMENT_BYTES = 2048
 _UNWRITTEN_SEGMENT = -1  # segment number of messages whose acceptance is not committed yet
@@ -60,8 +60,7 @@
         self._uncommitted: list[LogRecord] = []
         self._segment_of_message: dict[str, int] = {}  # segment of its acceptance record
         self._messages_in_segment: dict[int, dict[str, None]] = {}
-        self._reserved_bytes = 0  # reserved by try_reserve() since the last commit
-        self._pending_bytes = 0  # upper bound of the records of all pending messages
+        self.space = LogSpace(max_bytes)
         self._last_sequence_number = 0  # number of the last accepted message, continued across restarts
         self._newest_time_us: int | None = None  # latest log time in any record
         self._anchor: ClockAnchor | None = None  # last anchor read from the newest segment
@@ -107,18 +106,16 @@
 
     def _apply_record(self, record: LogRecord, segment: int) -> None:
         message = record.message
-        pending = self.pending_messages.by_id.get(message)
-        if pending is not None and isinstance(record, MessageCompleted | MessageAccepted):
-            self._pending_bytes -= max_bytes_of_message(message, len(pending.accepted.body))
         self.pending_messages.apply(record)
         if isinstance(record, MessageAccepted):
             self._last_sequence_number = max(self._last_sequence_number, record.sequence_number)
             self._remove_from_segment(message)
             self._segment_of_message[message] = segment
             self._messages_in_segment.setdefault(segment, {})[message] = None
-            self._pending_bytes += max_bytes_of_message(message, len(record.body))
+            self.space.on_written(message, max_bytes_of_message(message, len(record.body)))
         elif isinstance(record, MessageCompleted):
             self._remove_from_segment(message)
+            self.space.on_completed(message)
         elif isinstance(record, AttemptStarted):
             self._update_newest_time(record.started_at_us)
 
@@ -144,18 +141,17 @@
         return len(self._uncommitted)
 
     def try_reserve(self, message: str, body_bytes: int) -> bool:
-        """Reserve space for all records of a message until the next commit.
+        """Reserve space for all records of a message, until its acceptance is written or it is released.
 
         Return whether there was enough space.
         """
-        size = max_bytes_of_message(message, body_bytes)
-        pending = self._pending_bytes + self._reserved_bytes + size
-        # Disk usage is checked separately because it stays high while segments can't be removed.
-        used = self.files.disk_usage_bytes + self._reserved_bytes + size
-        if pending > MAX_PENDING_SHARE * self.max_bytes or used > self.max_bytes:
-            return False
-        self._reserved_bytes += size
-        return True
+        return self.space.try_reserve(
+            message, max_bytes_of_message(message, body_bytes), self.files.disk_usage_bytes
+        )
+
+    def release_reservation(self, message: str) -> None:
+        """End the reservation of a message that is not accepted; do nothing if its acceptance is written."""
+        self.space.release(message)
 
     # appending
 
@@ -195,12 +191,9 @@
 
         If the write fails and ``is_required`` is set, the record is dropped and the attempt must not start.
         """
-        # commit() resets the reservation, which messages of this turn that are still uncommitted need.
-        reserved_bytes = self._reserved_bytes
         record = AttemptStarted(message, attempt, self.now_us())
         self.append(record)
         is_committed = self.commit()
-        self._reserved_bytes = reserved_bytes
         if not is_committed and is_required:
             self._uncommitted = [each for each in self._uncommitted if each is not record]
         return is_committed
@@ -226,7 +219,6 @@
         If the write fails, acceptances are dropped, because their clients have not been answered yet; all
         other records stay queued for the next commit.
         """
-        self._reserved_bytes = 0
         if not self._uncommitted:
             return True
         records, self._uncommitted = self._uncommitted, []
@@ -234,6 +226,7 @@
             for record in records:
                 if isinstance(record, MessageAccepted):
                     self._remove_from_segment(record.message)
+                    self.space.release(record.message)
             self._uncommitted = [each for each in records if each.message in self._segment_of_message]
             return False
         self._remove_old_segments()
--- a/tests/test_submission.py
+++ b/tests/test_submission.py
@@ -110,6 +110,7 @@
     early, _ = bench.connect_client()
     bench.submit(early, "m1")
     early.connectionLost()
+    assert bench.write_ahead_log.space.reserved_bytes == 0
     late, transport = bench.connect_client()
     bench.submit(late, "m2")
     bench.clock.advance(0)
@@ -220,6 +221,7 @@
         bench.clock.advance(0)
         statuses.append(status_of(transport))
     assert statuses == [b"202", b"409", b"429", b"503"] and bench.forwarder.open_count == 1
+    assert bench.write_ahead_log.space.reserved_bytes == 0
     assert b"\r\nRetry-After: " in transport.value()
 
 
@@ -249,6 +251,7 @@
     bench.clock.pump([0.01] * 3)
     assert status_of(transport) == b"503" and b"Retry-After" in transport.value()
     assert bench.forwarder.open_count == 0 and bench.clock.tcpClients == []
+    assert bench.write_ahead_log.space.reserved_bytes == 0
     bench.submit(connection, "m1-again")  # the log is already unavailable
     bench.clock.pump([0.01] * 3)
     assert transport.value().count(b"HTTP/1.1 503") == 2 and bench.forwarder.counters.accepted == 1
--- a/tests/test_write_ahead_log.py
+++ b/tests/test_write_ahead_log.py
@@ -13,6 +13,7 @@
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.http_call import HttpPayload
 from honeybarrow.node.log_records import decode_records, encode_record
+from honeybarrow.node.log_space import MAX_PENDING_SHARE
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.recovery import (
     AttemptFinished,
@@ -249,3 +250,43 @@
         log.commit()
     again = open_log(tmp_path)
     assert list(again.pending_messages.by_id) == ["first"] and again.try_reserve("new", 18_000)
+
+
+@pytest.mark.parametrize("writer", ["completion", "attempt", "commit", "acceptance"])
+def test_a_commit_of_other_records_releases_no_reservation(tmp_path: Path, writer: str) -> None:
+    """Guards against review case 2: messages admitted beyond the share, and a turn that never ended."""
+    log, max_bytes = open_log(tmp_path, 2_400_000), 2_400_000
+    log.record_accepted(Submission("earlier"))
+    log.commit()
+    reserved = [name for name in (f"a{number}" for number in range(17)) if log.try_reserve(name, 48_000)]
+    if writer == "completion":
+        log.record_completed("earlier")
+    elif writer == "attempt":
+        log.record_attempt_started("earlier", 0)
+    elif writer == "acceptance":
+        log.record_accepted(Submission(reserved.pop(), bytes(48_000)))
+    log.commit()
+    reserved += [name for name in (f"b{number}" for number in range(17)) if log.try_reserve(name, 48_000)]
+    assert len(reserved) * 48_000 <= MAX_PENDING_SHARE * max_bytes
+    for name in reserved:
+        log.record_accepted(Submission(name, bytes(48_000)))
+    log.commit()
+    assert log.space.reserved_bytes == 0
+    assert log.space.pending_bytes <= MAX_PENDING_SHARE * max_bytes
+
+
+def test_a_reservation_ends_with_its_message(tmp_path: Path, monkeypatch: Any) -> None:
+    disk, log = Disk(monkeypatch), open_log(tmp_path)
+    for _ in range(3):  # given up, not written, written and completed: each leaves all of the space
+        assert log.try_reserve("given up", 18_000) and not log.try_reserve("other", 18_000)
+        log.release_reservation("given up")
+        assert log.try_reserve("not written", 18_000)
+        log.record_accepted(Submission("not written", bytes(18_000)))
+        disk.free_bytes = 0
+        assert not log.commit()
+        disk.free_bytes = None
+        assert log.try_reserve("written", 18_000)
+        log.record_accepted(Submission("written", bytes(18_000)))
+        assert log.commit() and not log.try_reserve("other", 18_000)
+        log.record_completed("written")
+        assert log.commit()
