A log reservation covers the encoded records of its message, with account and key

A record with an account of 4,000 letters has 4,215 bytes and one with 7,000 non-ASCII letters 42,215; both were reserved as 640. Change: the bound is the largest encoded acceptance without texts, plus its texts as JSON, plus one record each of attempt, result and completion: 4,600 and 42,600 bytes, and 508 for a usual message. Of more than eight unfinished attempts (one is left by each kill) a copied record folds the first into the first ambiguous start, so its size is bounded. Test: generated texts, bodies and histories; the records of a message fit its reservation, and a copy keeps the first ambiguous start. With the old formula it fails. The golden front test sets the limit where it is kept now; its answers are unchanged.

--- a/honeybarrow/node/log_records.py
+++ b/honeybarrow/node/log_records.py
@@ -8,11 +8,12 @@
 import json
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from honeybarrow.log_timeline import ClockAnchor, ClockReading
 from honeybarrow.recovery import (
+    MAX_UNFINISHED_ATTEMPTS,
     AttemptFinished,
     AttemptStarted,
     DecidedResult,
@@ -30,6 +31,8 @@
 _FINAL_RESULT = struct.Struct("<c?I")  # type code, is returned, retry delay in ms; message id follows
 _MESSAGE_ACCEPTED = struct.Struct("<cI")  # type code, length of the JSON fields; fields and body follow
 MAX_RECORD_BYTES = 1 << 18
+MAX_ATTEMPT_NUMBER = 0xFFFF
+MAX_RETRY_AFTER_MS = 0xFFFFFFFF
 # An anchor is encoded as the completion of a message whose id is invalid because it contains a space.
 # Versions without anchors skip it; at a new type code they would stop and lose the records after it.
 _ANCHOR_PREFIX = "clock "
@@ -46,7 +49,7 @@
         case AttemptFinished(message, attempt, not_run):
             payload = _ATTEMPT_FINISHED.pack(b"E", attempt, not_run) + message.encode()
         case FinalResult(message, is_returned, retry_after_ms):
-            capped_ms = min(retry_after_ms, 0xFFFFFFFF)
+            capped_ms = min(retry_after_ms, MAX_RETRY_AFTER_MS)
             payload = _FINAL_RESULT.pack(b"N", is_returned, capped_ms) + message.encode()
         case MessageCompleted(message):
             payload = b"O" + message.encode()
@@ -70,15 +73,51 @@
         record.attempt_count,
         record.first_ambiguous_at_us,
         [(each.attempt, each.started_at_us) for each in record.in_flight],
-        None if result is None else (result.is_returned, result.retry_after_ms),
+        None if result is None else (result.is_returned, min(result.retry_after_ms, MAX_RETRY_AFTER_MS)),
         record.order_key,
         record.sequence_number,
     )
 
 
-def max_bytes_of_message(message: str, body_bytes: int) -> int:
-    """Return an upper bound of the size of all records of a pending message, in bytes."""
-    return 512 + 8 * len(message) + body_bytes
+_LARGEST_NUMBER = (1 << 63) - 1
+# The longest acceptance record of a message without texts and body, as compaction copies it forward.
+_LARGEST_EMPTY_ACCEPTANCE = MessageAccepted(
+    message="",
+    class_name="",
+    destination=_LARGEST_NUMBER,
+    expires_at_us=_LARGEST_NUMBER,
+    tenant="",
+    idempotency_key="",
+    body=b"",
+    attempt_count=MAX_ATTEMPT_NUMBER,
+    first_ambiguous_at_us=_LARGEST_NUMBER,
+    in_flight=(InFlightAttempt(MAX_ATTEMPT_NUMBER, _LARGEST_NUMBER),) * MAX_UNFINISHED_ATTEMPTS,
+    final_result=DecidedResult(False, MAX_RETRY_AFTER_MS),
+    sequence_number=_LARGEST_NUMBER,
+)
+# The records that follow it until the message is completed or copied; each ends with the message id.
+_RECORDS_WITH_ID = (
+    AttemptStarted("", MAX_ATTEMPT_NUMBER, _LARGEST_NUMBER),
+    FinalResult("", False, MAX_RETRY_AFTER_MS),
+    MessageCompleted(""),
+)
+_FIXED_BYTES = sum(len(encode_record(each)) for each in (_LARGEST_EMPTY_ACCEPTANCE, *_RECORDS_WITH_ID))
+
+
+def max_bytes_of_message(message: str, body_bytes: int, texts: Iterable[str] = ()) -> int:
+    """Return an upper bound of the size of the records of a pending message, in bytes.
+
+    ``texts`` are the other texts of its acceptance: class, tenant, idempotency key and order key. Records of
+    attempts beyond one are not counted, since compaction replaces them by the acceptance record.
+    """
+    text_bytes = sum(len(json.dumps(text)) - 2 for text in (message, *texts))
+    return _FIXED_BYTES + text_bytes + len(_RECORDS_WITH_ID) * len(message.encode()) + body_bytes
+
+
+def max_bytes_of_acceptance(record: MessageAccepted) -> int:
+    """Return the bound of :func:`max_bytes_of_message` for the message of an acceptance record."""
+    texts = (record.class_name, record.tenant, record.idempotency_key, record.order_key)
+    return max_bytes_of_message(record.message, len(record.body), texts)
 
 
 def decode_records(data: bytes) -> Iterator[LogRecord | ClockAnchor]:
--- a/honeybarrow/node/submission.py
+++ b/honeybarrow/node/submission.py
@@ -183,7 +183,8 @@
             return "destination not listed"  # retriable because the list update may be delayed
         if not self.write_ahead_log.is_available:
             return "can't be recorded"
-        if not self.write_ahead_log.try_reserve(submitted.message, len(submitted.body)):
+        texts = (submitted.class_name, submitted.tenant, submitted.idempotency_key, submitted.order_key)
+        if not self.write_ahead_log.try_reserve(submitted.message, len(submitted.body), texts):
             return "no room on disk"
         return ""
 
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -9,13 +9,18 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from honeybarrow.clocks import Clocks
 from honeybarrow.events import AttemptStatus
 from honeybarrow.log_timeline import ClockAnchor, start_timeline
-from honeybarrow.node.log_records import decode_records, encode_record, max_bytes_of_message
+from honeybarrow.node.log_records import (
+    decode_records,
+    encode_record,
+    max_bytes_of_acceptance,
+    max_bytes_of_message,
+)
 from honeybarrow.node.log_space import LogSpace
 from honeybarrow.node.segment_files import Segment, SegmentFiles
 from honeybarrow.recovery import (
@@ -112,7 +117,7 @@
             self._remove_from_segment(message)
             self._segment_of_message[message] = segment
             self._messages_in_segment.setdefault(segment, {})[message] = None
-            self.space.on_written(message, max_bytes_of_message(message, len(record.body)))
+            self.space.on_written(message, max_bytes_of_acceptance(record))
         elif isinstance(record, MessageCompleted):
             self._remove_from_segment(message)
             self.space.on_completed(message)
@@ -140,14 +145,14 @@
         """Number of records that are not committed yet."""
         return len(self._uncommitted)
 
-    def try_reserve(self, message: str, body_bytes: int) -> bool:
+    def try_reserve(self, message: str, body_bytes: int, texts: Iterable[str] = ()) -> bool:
         """Reserve space for all records of a message, until its acceptance is written or it is released.
 
-        Return whether there was enough space.
+        ``texts`` are the other texts of its acceptance, see :func:`log_records.max_bytes_of_message`. Return
+        whether there was enough space.
         """
-        return self.space.try_reserve(
-            message, max_bytes_of_message(message, body_bytes), self.files.disk_usage_bytes
-        )
+        size = max_bytes_of_message(message, body_bytes, texts)
+        return self.space.try_reserve(message, size, self.files.disk_usage_bytes)
 
     def release_reservation(self, message: str) -> None:
         """End the reservation of a message that is not accepted; do nothing if its acceptance is written."""
--- a/honeybarrow/recovery.py
+++ b/honeybarrow/recovery.py
@@ -16,6 +16,7 @@
 from honeybarrow.message_guard import Refusal, may_resume
 from honeybarrow.settings import MessageClass
 
+MAX_UNFINISHED_ATTEMPTS = 8  # listed one by one in a record that compaction copies forward
 UNKNOWN_AGE_US = 1 << 50  # age of an ambiguous attempt if unknown; longer than any key window
 
 
@@ -111,13 +112,20 @@
     final_result: FinalResult | None = None
 
     def to_record(self) -> MessageAccepted:
-        """Return one record that holds the complete state."""
-        result = self.final_result
+        """Return one record that holds the complete state, in a bounded size.
+
+        A process has few attempts of a message in flight, but each kill leaves its own unfinished. Of more
+        than ``MAX_UNFINISHED_ATTEMPTS`` the first ones count as finished and ambiguous.
+        """
+        result, in_flight = self.final_result, [InFlightAttempt(*each) for each in self.in_flight.items()]
+        folded, listed = in_flight[:-MAX_UNFINISHED_ATTEMPTS], in_flight[-MAX_UNFINISHED_ATTEMPTS:]
+        first_us = self.first_ambiguous_at_us
+        ambiguous_us = [each.started_at_us for each in folded] + ([] if first_us is None else [first_us])
         return replace(
             self.accepted,
             attempt_count=self.attempt_count,
-            first_ambiguous_at_us=self.first_ambiguous_at_us,
-            in_flight=tuple(InFlightAttempt(*each) for each in self.in_flight.items()),
+            first_ambiguous_at_us=min(ambiguous_us, default=None),
+            in_flight=tuple(listed),
             final_result=None if result is None else DecidedResult(result.is_returned, result.retry_after_ms),
         )
 
--- a/tests/test_golden_platform.py
+++ b/tests/test_golden_platform.py
@@ -370,7 +370,7 @@
 
 
 def fill_log(bench: SubmissionBench) -> None:
-    bench.write_ahead_log.max_bytes = 100
+    bench.write_ahead_log.space.max_bytes = 100
 
 
 def leave_unchanged(bench: SubmissionBench) -> None:
--- a/tests/test_write_ahead_log.py
+++ b/tests/test_write_ahead_log.py
@@ -9,10 +9,17 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from honeybarrow.events import AttemptStatus
 from honeybarrow.node.http_call import HttpPayload
-from honeybarrow.node.log_records import decode_records, encode_record
+from honeybarrow.node.log_records import (
+    decode_records,
+    encode_record,
+    max_bytes_of_acceptance,
+    max_bytes_of_message,
+)
 from honeybarrow.node.log_space import MAX_PENDING_SHARE
 from honeybarrow.node.write_ahead_log import WriteAheadLog
 from honeybarrow.recovery import (
@@ -24,6 +31,7 @@
     LogRecord,
     MessageAccepted,
     MessageCompleted,
+    PendingMessages,
     ResumedMessage,
     plan_recovery,
 )
@@ -290,3 +298,42 @@
         assert log.commit() and not log.try_reserve("other", 18_000)
         log.record_completed("written")
         assert log.commit()
+
+
+TEXTS = st.text(st.characters(max_codepoint=0xFF), max_size=40)
+NUMBERS = st.integers(0, 1 << 62)
+
+
+@given(
+    st.tuples(TEXTS, TEXTS, TEXTS, TEXTS, TEXTS),
+    st.binary(max_size=80),
+    st.lists(st.tuples(st.integers(0, 0xFFFF), NUMBERS, st.booleans(), st.booleans()), max_size=20),
+    NUMBERS,
+    st.booleans(),
+)
+def test_the_reserved_size_covers_the_records_of_a_message(
+    texts: tuple[str, ...],
+    body: bytes,
+    attempts: list[tuple[int, int, bool, bool]],
+    number: int,
+    is_returned: bool,
+) -> None:
+    """Guards against records that are larger than their reservation, by long tenants, keys or histories."""
+    message, class_name, tenant, key, order_key = texts
+    messages = PendingMessages()
+    messages.apply(
+        MessageAccepted(message, class_name, number, number, tenant, key, body, 0, None, order_key=order_key)
+    )
+    first_us = None
+    for attempt, started_us, is_finished, not_run in attempts:
+        messages.apply(AttemptStarted(message, attempt, started_us))
+        if is_finished:
+            messages.apply(AttemptFinished(message, attempt, not_run))
+        first_us = messages.by_id[message].first_ambiguous_start_us()
+    messages.apply(FinalResult(message, is_returned, number))
+    copied = messages.by_id[message].to_record()
+    later = (AttemptStarted(message, 0xFFFF, number), FinalResult(message, is_returned, number))
+    size = sum(len(encode_record(each)) for each in (copied, *later, MessageCompleted(message)))
+    assert size <= max_bytes_of_message(message, len(body), texts[1:]) == max_bytes_of_acceptance(copied)
+    messages.apply(copied)
+    assert messages.by_id[message].first_ambiguous_start_us() == first_us
