A commit of the log does bounded work, whatever has filled the folder

Cause, the third of three: _remove_old_segments copied the oldest segment to the newest and removed it while the size was above half of the limit, which never ends if all of it is pending. Change: at most two segments are copied by a commit, and CompactionRounds decides on each: a round copies each segment once, begins only with garbage of a sixteenth of the limit, and after one that freed too little the next waits for as much more. Until there is room messages are refused with 503; none is dropped. The size of a message is computed once, at its reservation.

--- a/honeybarrow/node/log_records.py
+++ b/honeybarrow/node/log_records.py
@@ -110,10 +110,15 @@
     ``texts`` are the other texts of its acceptance: class, tenant, idempotency key and order key. Records of
     attempts beyond one are not counted, since compaction replaces them by the acceptance record.
     """
-    text_bytes = sum(len(json.dumps(text)) - 2 for text in (message, *texts))
+    text_bytes = sum(_json_bytes(text) for text in (message, *texts))
     return _FIXED_BYTES + text_bytes + len(_RECORDS_WITH_ID) * len(message.encode()) + body_bytes
 
 
+def _json_bytes(text: str) -> int:
+    """Return the size of a text in JSON, without its quotes."""
+    return len(text) if text.isalnum() and text.isascii() else len(json.dumps(text)) - 2
+
+
 def max_bytes_of_acceptance(record: MessageAccepted) -> int:
     """Return the bound of :func:`max_bytes_of_message` for the message of an acceptance record."""
     texts = (record.class_name, record.tenant, record.idempotency_key, record.order_key)
--- a/honeybarrow/node/write_ahead_log.py
+++ b/honeybarrow/node/write_ahead_log.py
@@ -1,9 +1,9 @@
 """The write-ahead log: append-only segment files in the state folder.
 
 Segments are removed oldest first, so the acceptance of a message is never removed after its later records.
-When the total size approaches its limit, the oldest segment is compacted: its pending messages are copied to
-the newest segment, one record each, and the segment is removed. Committed records survive a crash of the
-process but not of the machine, because files are not synced.
+When the total size approaches its limit, the oldest segments are compacted, a few with each commit: their
+pending messages are copied to the newest segment, one record each, and the segments are removed. Committed
+records survive a crash of the process but not of the machine, because files are not synced.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
     max_bytes_of_acceptance,
     max_bytes_of_message,
 )
-from honeybarrow.node.log_space import LogSpace
+from honeybarrow.node.log_space import MAX_COPIED_SEGMENTS, CompactionRounds, LogSpace
 from honeybarrow.node.segment_files import Segment, SegmentFiles
 from honeybarrow.recovery import (
     AttemptFinished,
@@ -34,7 +34,6 @@
 )
 
 SEGMENT_COUNT = 16  # segments that fit into the size limit
-COMPACTION_SHARE = 0.5  # share of the size limit at which compaction starts
 MIN_SEGMENT_BYTES = 2048
 _UNWRITTEN_SEGMENT = -1  # segment number of messages whose acceptance is not committed yet
 log = logging.getLogger("honeybarrow.node")
@@ -66,6 +65,7 @@
         self._segment_of_message: dict[str, int] = {}  # segment of its acceptance record
         self._messages_in_segment: dict[int, dict[str, None]] = {}
         self.space = LogSpace(max_bytes)
+        self._compaction = CompactionRounds(max_bytes)
         self._last_sequence_number = 0  # number of the last accepted message, continued across restarts
         self._newest_time_us: int | None = None  # latest log time in any record
         self._anchor: ClockAnchor | None = None  # last anchor read from the newest segment
@@ -117,7 +117,7 @@
             self._remove_from_segment(message)
             self._segment_of_message[message] = segment
             self._messages_in_segment.setdefault(segment, {})[message] = None
-            self.space.on_written(message, max_bytes_of_acceptance(record))
+            self.space.on_written(message, lambda: max_bytes_of_acceptance(record))
         elif isinstance(record, MessageCompleted):
             self._remove_from_segment(message)
             self.space.on_completed(message)
@@ -276,25 +276,47 @@
             self._failed_operations.discard("segment_create_failed")
 
     def _remove_old_segments(self) -> None:
-        """Remove segments without pending messages; above the compaction share, compact the oldest first."""
+        """Remove segments without pending messages, oldest first; copy those of a few others before.
+
+        A segment that is not removed stays for the next commit.
+        """
+        copied_count = 0
         while len(self.files.sizes) > 1:
             oldest = next(iter(self.files.sizes))
-            messages = self._messages_in_segment.get(oldest)
-            if messages:
-                if self.files.disk_usage_bytes < COMPACTION_SHARE * self.max_bytes:
+            if self._messages_in_segment.get(oldest):
+                if copied_count == MAX_COPIED_SEGMENTS or not self._copy_segment(oldest):
                     return
-                pending = [self.pending_messages.by_id[message] for message in messages]
-                if not self._write_records([each.to_record() for each in pending]):
-                    return  # the segment still holds the only record of its pending messages
-            try:
-                self.files.remove(oldest)
-            except OSError as error:
-                # Later segments stay too: removing the record of a completion before the record of its
-                # acceptance would make the message pending again after a restart.
-                self._log_failure("segment_remove_failed", error)
+                copied_count += 1
+            if not self._remove_segment(oldest):
                 return
-            self._failed_operations.discard("segment_remove_failed")
-            self._messages_in_segment.pop(oldest, None)
+
+    def _copy_segment(self, segment: int) -> bool:
+        """Copy the pending messages of the oldest segment to the newest one, if that can free enough space.
+
+        Return whether the segment may be removed.
+        """
+        if not self._compaction.may_copy(
+            segment, self.files.newest, self.files.disk_usage_bytes, self.space.pending_bytes
+        ):
+            return False
+        pending = [self.pending_messages.by_id[message] for message in self._messages_in_segment[segment]]
+        # If the write fails, the segment still holds the only record of its pending messages.
+        return self._write_records([each.to_record() for each in pending])
+
+    def _remove_segment(self, segment: int) -> bool:
+        """Remove the oldest segment and return whether that succeeded.
+
+        After a failure later segments stay too: removing the record of a completion before the record of its
+        acceptance would make the message pending again after a restart.
+        """
+        try:
+            self.files.remove(segment)
+        except OSError as error:
+            self._log_failure("segment_remove_failed", error)
+            return False
+        self._failed_operations.discard("segment_remove_failed")
+        self._messages_in_segment.pop(segment, None)
+        return True
 
     def close(self) -> None:
         """Commit the queued records and close the newest segment."""
--- a/tests/test_folder_faults.py
+++ b/tests/test_folder_faults.py
@@ -14,13 +14,21 @@
 
 import pytest
 
+from honeybarrow.clocks import system_clocks
+from honeybarrow.node.process import MAX_LOG_DISK_SHARE
+from honeybarrow.node.write_ahead_log import SEGMENT_COUNT, WriteAheadLog
+from honeybarrow.recovery import MessageAccepted
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
 from honeybarrow.soak.rules import NOTIFICATION_DELAY_AFTER_READY_S
 from tests.platform_harness import TARGET_ANSWER, PlatformHarness
-from tests.test_clock_steps import RESTART_DELAY_S, run_with_faults
+from tests.test_clock_steps import RESTART_DELAY_S, run_with_faults, wait_for_result
 from tests.test_system_call_faults import check_accepted_messages, submit_during_fault, try_submit
 
 FOLDER_ERRNOS = (errno.ENOSPC, errno.EIO)
+DISK_BYTES = 3 << 20  # of the harness's configuration
+BODY_BYTES = 20_000
+LEFT_S = 8.0
+MAX_START_S = 10.0  # within which nine in ten processes have to be ready
 OVERLOADED_ANSWER = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -179,3 +187,39 @@
         assert Counter(message for message, _ in platform.calls) == calls
 
     run_with_faults(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("share", [0.55, 0.7, 1.05])
+def test_a_process_starts_in_a_folder_full_of_pending_messages(tmp_path: Path, share: float) -> None:
+    """Guards against a start that hangs at its first commits, in a folder that an earlier build filled."""
+    max_bytes = int(DISK_BYTES * MAX_LOG_DISK_SHARE)
+
+    def fill_state_folder(state: Path) -> dict[str, float]:
+        log = WriteAheadLog(str(state), 4 * max_bytes, system_clocks())
+        log.max_segment_bytes = max_bytes // SEGMENT_COUNT
+        messages: dict[str, float] = {}
+        while log.disk_usage_bytes < share * max_bytes:
+            name = f"post-{len(messages)}"
+            body, expires_at_us = bytes(BODY_BYTES), log.now_us() + int(LEFT_S * 1e6)
+            log.append(MessageAccepted(name, "post", 7, expires_at_us, "", f"k-{name}", body))
+            log.commit()
+            messages[name] = time.monotonic()
+        log.close()
+        return messages
+
+    async def scenario(platform: PlatformHarness, shim: FaultShim) -> None:
+        await platform.end_forwarder(signal.SIGKILL)
+        for path in platform.state.iterdir():
+            path.unlink()
+        messages = fill_state_folder(platform.state)
+        platform.choose_answer = lambda message: OVERLOADED_ANSWER
+        started_s = time.monotonic()
+        await platform.start_forwarder()
+        assert time.monotonic() - started_s < MAX_START_S
+        assert await platform.submit("note-early") == 503  # no room
+        platform.choose_answer = lambda message: TARGET_ANSWER
+        for message, accepted_s in messages.items():
+            await wait_for_result(platform, message, accepted_s, LEFT_S)
+        assert await platform.submit("note-late") == 202
+
+    run_with_faults(tmp_path, scenario)
