A new process sends nothing by its saved list while discovery may still answer

Cause: with pushed lists the process waited 1.2 s for its first list and then called by the saved one, though its call to discovery was open: a timeout was taken for an answer. Change: it gets ready after 1.2 s as before, and calls are held until the first call to discovery has told something, failed or timed out (2.2 s; 4.8 s with a head alone). node/list_validity decides this and the age of a list in one place, without I/O; its docstring is the table. Tests: 13 behaviors of discovery on real processes, with a changed and an unchanged list, and the table alone.

--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -12,9 +12,7 @@
 it is ignored, is no sign that discovery works, and makes the client ask for the whole list on a new one.
 The first item is applied whatever its version, since nothing on its connection precedes it.
 
-An overloaded discovery may reject requests for longer than that. The list counts as outdated if discovery has
-rejected a request and neither an item nor a heartbeat arrived for ``MAX_LIST_AGE_S``. It does not become
-outdated while discovery is unreachable.
+Whether calls may follow the list meanwhile is decided by :mod:`honeybarrow.node.list_validity`.
 """
 
 from __future__ import annotations
@@ -31,14 +29,13 @@
 from honeybarrow.errors import format_error
 from honeybarrow.events import MembershipUpdate, UpdateKind
 from honeybarrow.node.endpoint_list import EndpointList, EndpointListError, WatchReader
+from honeybarrow.node.list_validity import ListValidity
 from honeybarrow.node.sockets import write_now
 from honeybarrow.ports import Clock, DelayedCall, Network
 
 HEARTBEAT_INTERVAL_S = 2.0  # between empty lines of an unchanged list, defined by the platform's protocol
 WATCH_TIMEOUT_S = 1.3 * HEARTBEAT_INTERVAL_S  # without an item or a heartbeat
 RESPONSE_TIMEOUT_S = 2.2  # from the connect to the response head; two of these fit into 6 s
-MAX_LIST_AGE_S = 5.9  # since the last item or heartbeat; below the required 6 s
-MAX_LIST_AGE_AFTER_START_S = 3.9  # since the start or a change of address; below the required 4 s
 MIN_RESYNC_INTERVAL_S = 2.0  # between requests of the whole list after items that were not new
 # An overloaded discovery rejects requests within this time; a gateway reports an unreachable one later.
 MAX_REJECTION_DELAY_S = 1.0
@@ -151,8 +148,8 @@
         self._next_resync_s = clock.seconds()
         self._resync_timer: DelayedCall | None = None
         self.is_outdated = False  # the current list may lack changes that must be applied by now
-        self._outdated_at_s = clock.seconds() + MAX_LIST_AGE_AFTER_START_S
-        self._outdated_timer: DelayedCall | None = None  # from a rejection to the next item or heartbeat
+        self._validity = ListValidity(clock.seconds())
+        self._validity_timer: DelayedCall | None = None
 
     def subscribe(self) -> None:
         """Open a watch, unless one is open."""
@@ -160,14 +157,18 @@
         if self._watch is None:
             self._open_watch(self.version)
 
+    def await_first_call(self) -> None:
+        """Count the list as outdated until the first call to discovery has ended or told something."""
+        self._validity.await_first_call(self.clock.seconds())
+        self._check_validity()
+
     def change_address(self, address: tuple[str, int]) -> None:
         """Reopen the watch at another address, starting from the current version."""
         if address == self.address:
             return
         self.address = address
-        self._outdated_at_s = min(self._outdated_at_s, self.clock.seconds() + MAX_LIST_AGE_AFTER_START_S)
-        if self._outdated_timer is not None:
-            self._set_outdated_timer()
+        self._validity.on_address_changed(self.clock.seconds())
+        self._check_validity()
         self.close()
         if self._is_subscribed:
             self._open_watch(self.version)
@@ -201,6 +202,8 @@
             return
         # Reopened at once; with the policy's backoff the list could exceed its maximum age.
         log.info("watch_timeout reopening=True")
+        self._validity.on_call_ended()
+        self._check_validity()
         self.close()
         self._open_watch(self.version)
 
@@ -229,30 +232,29 @@
     def on_watch_rejected(self, watch: _Watch) -> None:
         """Limit the age of the list after a response with an error status that arrived quickly."""
         is_quick = self.clock.seconds() - watch.requested_at_s <= MAX_REJECTION_DELAY_S
-        if watch is self._watch and is_quick and self._outdated_timer is None:
-            self._set_outdated_timer()
-
-    def _set_outdated_timer(self) -> None:
-        self._cancel_outdated_timer()
-        delay_s = max(0.0, self._outdated_at_s - self.clock.seconds())
-        self._outdated_timer = self.clock.callLater(delay_s, self._set_outdated, True)
+        if watch is self._watch and is_quick:
+            self._validity.on_call_rejected()
+            self._check_validity()
 
-    def _cancel_outdated_timer(self) -> None:
-        if self._outdated_timer is not None and self._outdated_timer.active():
-            self._outdated_timer.cancel()
-        self._outdated_timer = None
-
-    def _set_outdated(self, is_outdated: bool) -> None:
+    def on_list_confirmed(self) -> None:
+        """Restart the age of the list after an item or a heartbeat."""
+        self._validity.on_confirmed(self.clock.seconds())
+        self._check_validity()
+
+    def _check_validity(self) -> None:
+        """Report a change of whether the list is outdated, and check again when it becomes outdated."""
+        if self._validity_timer is not None and self._validity_timer.active():
+            self._validity_timer.cancel()
+        self._validity_timer = None
+        now_s = self.clock.seconds()
+        next_change_s = self._validity.next_change_s(now_s)
+        if next_change_s is not None:
+            self._validity_timer = self.clock.callLater(next_change_s - now_s, self._check_validity)
+        is_outdated = not self._validity.allows_calls(now_s)
         if is_outdated is not self.is_outdated:
             self.is_outdated = is_outdated
             self._on_outdated(is_outdated)
 
-    def on_list_confirmed(self) -> None:
-        """Restart the age of the list after an item or a heartbeat."""
-        self._outdated_at_s = self.clock.seconds() + MAX_LIST_AGE_S
-        self._cancel_outdated_timer()
-        self._set_outdated(False)
-
     def on_watch_item(self, update: EndpointList) -> None:
         """Record the version of an item and forward the item."""
         self.version = update.version
@@ -263,5 +265,7 @@
         if watch is not self._watch:
             return
         log.info("watch_failed reason=%r", reason)
+        self._validity.on_call_ended()
+        self._check_validity()
         self.close()
         self._on_failure(MembershipUpdate(UpdateKind.FAILED, self.version or 0))
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -189,8 +189,10 @@
         if self.config.settings.polls_endpoint_list:
             self._recover()
             return
-        # Pushed lists are in force as soon as discovery sends them, and the saved list may be outdated. So
-        # nothing is sent until the first list arrives or times out.
+        # Pushed lists are in force as soon as discovery has them, and the saved list may be outdated. So
+        # nothing is sent until the first list arrives or the call for it has failed. The process becomes
+        # ready before that if it takes longer.
+        self.discovery.await_first_call()
         self._first_list_timer = self.reactor.callLater(FIRST_LIST_TIMEOUT_S, self._recover)
         self.discovery.subscribe()
 
--- a/tests/test_discovery_failures.py
+++ b/tests/test_discovery_failures.py
@@ -11,8 +11,9 @@
 
 import pytest
 
-from honeybarrow.node.discovery import MAX_LIST_AGE_AFTER_START_S, MAX_LIST_AGE_S, RESPONSE_TIMEOUT_S
+from honeybarrow.node.discovery import RESPONSE_TIMEOUT_S
 from honeybarrow.node.endpoint_list import parse_address
+from honeybarrow.node.list_validity import MAX_LIST_AGE_AFTER_START_S, MAX_LIST_AGE_S
 from honeybarrow.policy.membership import POLL_BACKOFF_US
 from tests.forwarder_harness import OK, WATCH_HEAD, ForwarderHarness, PeerConnection
 
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -150,6 +150,10 @@
         watch.dataReceived(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
     else:
         clock.pump([0.1] * int((FIRST_LIST_TIMEOUT_S + 0.1) * 10))
+        # Ready, and still without a call: discovery may be about to answer.
+        assert process.submissions.is_ready
+        assert [each[0] for each in clock.tcpClients] == ["127.0.0.2"]
+        clock.pump([0.1] * int((RESPONSE_TIMEOUT_S - FIRST_LIST_TIMEOUT_S) * 10))
     clock.pump([0.01] * 5)
     assert process.submissions.is_ready
     called = [each[0] for each in clock.tcpClients if each[0] == "10.0.0.1"]
--- /dev/null
+++ b/tests/test_list_after_restart.py
@@ -0,0 +1,191 @@
+"""What a new process sends by its saved list, on real processes with pushed lists.
+
+Guards against review case 3: after a kill, messages went by the saved list to the address of an endpoint that
+had left, where an endpoint of another destination was, while discovery was about to answer.
+The cases are the rows of the table in ``honeybarrow.node.list_validity``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from honeybarrow.node.discovery import RESPONSE_TIMEOUT_S
+from honeybarrow.node.list_validity import (
+    MAX_FIRST_CALL_S,
+    MAX_LIST_AGE_AFTER_START_S,
+    MAX_LIST_AGE_S,
+    ListValidity,
+)
+from tests.platform_harness import TARGET_ANSWER, PlatformHarness, read_message
+from tests.test_service_on_platform import SETTINGS
+
+RESTART_DELAY_S = 0.6  # of a killed process, defined by the platform
+MESSAGES = ("note-1", "pay-1", "note-2", "pay-2")
+WAIT_ANSWER = b"HTTP/1.1 429 Full\r\nX-Come-Back-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+REJECTION = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+
+
+@dataclass(frozen=True)
+class Discovery:
+    """How discovery treats the watch of the new process."""
+
+    delay_s: float = 0.0  # before its first answer
+    answer: str = "list"  # list, heartbeat, head, rejection, nothing or refusal
+    is_changed: bool = False  # the endpoint is replaced; its address passes to another destination
+
+
+class ReplacedEndpointPlatform(PlatformHarness):
+    """Peers with an endpoint that can be replaced, and a stranger of destination 8 at its address."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder, {**SETTINGS, "membershipMode": "pushed"})
+        self.behavior = Discovery()
+        self.calls_at: list[tuple[str, str, float]] = []  # listener, message, monotonic time
+
+    def endpoint_list(self, index: int, snapshot: bool) -> dict[str, Any]:
+        """Return the list as discovery has it; its version is below 41 in the configuration alone."""
+        endpoints = [self._entry("s1", "target", 7)]
+        if self.behavior.is_changed and index > 40:
+            endpoints = [self._entry("s3", "replacement", 7), self._entry("s4", "target", 8)]
+        return {"index": index, "snapshot": snapshot, "endpoints": endpoints}
+
+    def _entry(self, name: str, listener: str, group: int) -> dict[str, Any]:
+        address = self.addresses[listener]
+        return {
+            "name": name,
+            "address": address,
+            "zone": "a",
+            "type": "shop",
+            "group": group,
+            "status": "active",
+        }
+
+    async def start_peers(self) -> None:
+        """Start all peers, also the listener of the replacing endpoint."""
+        await self.serve("replacement", self.target)
+        await super().start_peers()
+
+    async def discovery(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while (message := await read_message(reader)) is not None:
+            if message[0].startswith("POST /reports"):
+                self.notifications += [json.loads(line) for line in message[2].splitlines()]
+                writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+                continue
+            await asyncio.sleep(self.behavior.delay_s)
+            if self.behavior.answer == "rejection":
+                writer.write(REJECTION)
+            elif self.behavior.answer != "nothing":
+                await self._write_watch(writer)
+
+    async def _write_watch(self, writer: asyncio.StreamWriter) -> None:
+        writer.write(WATCH_HEAD)
+        if self.behavior.answer == "head":
+            return
+        is_list = self.behavior.answer == "list"
+        line = json.dumps(self.endpoint_list(42, True)).encode() + b"\n" if is_list else b"\n"
+        while True:
+            writer.write(f"{len(line):x}\r\n".encode() + line + b"\r\n")
+            await writer.drain()
+            line = b"\n"
+            await asyncio.sleep(1)
+
+    async def target(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while (message := await read_message(reader)) is not None:
+            message_id = message[1]["x-correlation-id"]
+            self.calls_at.append((name, message_id, time.monotonic()))
+            writer.write(self.choose_answer(message_id) or b"")
+
+    async def restart_with(self, behavior: Discovery) -> float:
+        """Kill the forwarder, let discovery behave so from then on, start again; return when it started."""
+        await self.end_forwarder(signal.SIGKILL)
+        self.calls_at.clear()
+        self.choose_answer = lambda message: TARGET_ANSWER
+        self.configure()  # while the list is as the forwarder last had it
+        self.behavior = behavior
+        if behavior.answer == "refusal":
+            self.servers[1].close()
+        await asyncio.sleep(RESTART_DELAY_S)
+        started_s = time.monotonic()
+        await self.start_forwarder()
+        return started_s
+
+
+LATE = [
+    Discovery(delay_s, is_changed=is_changed) for delay_s in (1.25, 1.5, 1.9) for is_changed in (True, False)
+]
+# Behavior of discovery, earliest and latest first call to an endpoint after the start.
+CASES = [
+    (Discovery(is_changed=True), 0.0, 3.0),
+    *((each, each.delay_s, each.delay_s + 3.0) for each in LATE),
+    (Discovery(answer="refusal"), 0.0, 3.0),
+    (Discovery(answer="rejection"), 0.0, 3.0),
+    (Discovery(delay_s=0.3, answer="rejection"), 0.3, 3.3),
+    (Discovery(answer="heartbeat"), 0.0, 3.0),
+    (Discovery(answer="nothing"), RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_S + 3.0),
+    (Discovery(answer="head"), RESPONSE_TIMEOUT_S, MAX_FIRST_CALL_S + 3.0),
+]
+
+
+@pytest.mark.parametrize(("behavior", "earliest_s", "latest_s"), CASES, ids=str)
+def test_a_new_process_sends_by_the_list_that_counts(
+    tmp_path: Path, behavior: Discovery, earliest_s: float, latest_s: float
+) -> None:
+    async def scenario(platform: ReplacedEndpointPlatform) -> None:
+        platform.choose_answer = lambda message: WAIT_ANSWER
+        for message in MESSAGES:
+            assert await platform.submit(message, message.split("-")[0]) == 202
+        await platform.wait_until(lambda: platform.calls_at)  # the others wait for the same time
+        started_s = await platform.restart_with(behavior)
+        await platform.wait_until(
+            lambda: {call[1] for call in platform.calls_at} == {*MESSAGES}, latest_s + 2.0
+        )
+        assert platform.notifications == [] and len(platform.calls_at) == len(MESSAGES)
+        expected = "replacement" if behavior.is_changed else "target"
+        assert {call[0] for call in platform.calls_at} == {expected}
+        first_s = min(call[2] for call in platform.calls_at) - started_s
+        assert earliest_s <= first_s <= latest_s
+
+    async def run() -> None:
+        platform = ReplacedEndpointPlatform(tmp_path)
+        try:
+            await platform.start_peers()
+            await platform.start_forwarder()
+            await scenario(platform)
+        finally:
+            await platform.close()
+
+    asyncio.run(run())
+
+
+def test_calls_follow_the_list_as_long_as_it_is_valid() -> None:
+    """Plays the table of the module."""
+    validity = ListValidity(100.0)
+    assert validity.allows_calls(1000.0) and validity.next_change_s(100.0) is None
+    validity.await_first_call(100.0)
+    limit_s = 100.0 + MAX_FIRST_CALL_S
+    assert not validity.allows_calls(limit_s - 0.1) and validity.next_change_s(100.0) == limit_s
+    assert validity.allows_calls(limit_s)  # addresses have changed all the time
+    for end in (validity.on_call_ended, lambda: validity.on_confirmed(100.0)):
+        validity.await_first_call(100.0)
+        assert not validity.allows_calls(101.0)
+        end()
+        assert validity.allows_calls(101.0)
+    validity.on_call_rejected()
+    outdated_s = 100.0 + MAX_LIST_AGE_S
+    assert validity.next_change_s(101.0) == outdated_s
+    assert validity.allows_calls(outdated_s - 0.1) and not validity.allows_calls(outdated_s)
+    validity.on_address_changed(101.0)
+    assert not validity.allows_calls(101.0 + MAX_LIST_AGE_AFTER_START_S)
+    validity.on_call_ended()
+    assert not validity.allows_calls(outdated_s)
+    validity.on_confirmed(outdated_s)
+    assert validity.allows_calls(1000.0)
