A destination with messages in flight keeps its record without endpoints

Seen (read in the review, reproduced here): a message is in flight, the last endpoint of its destination leaves, its attempt is turned away, another endpoint is listed: the message is never sent again and is handed back at its end. Cause: on_membership_update removed destinations without endpoints and without waiting messages; messages in flight do not wait. Their record was out of the table, and the new endpoint got another one. Change: such a record stays while any message belongs to it. Test: a full list and a change without the endpoint; both cases failed before.

--- a/honeybarrow/policy/membership.py
+++ b/honeybarrow/policy/membership.py
@@ -35,7 +35,21 @@
         state.changed_destinations[endpoint.destination.index] = endpoint.destination
         if state.settings.weight_source is not WeightSource.NONE:
             endpoint.scope.listed_limit = entry.weight
-    state.destinations = {n: each for n, each in state.destinations.items() if each.endpoints or each.waiting}
+    _remove_unused_destinations(state)
+
+
+def _remove_unused_destinations(state: SenderState) -> None:
+    """Remove destinations without endpoints and messages.
+
+    Messages in flight count: when their attempts fail, they wait for the endpoints of this record.
+    """
+    empty = [number for number, each in state.destinations.items() if not each.endpoints and not each.waiting]
+    if not empty:
+        return
+    used = {message.destination.index for message in state.messages.values()}
+    for number in empty:
+        if state.destinations[number].index not in used:
+            del state.destinations[number]
 
 
 def _schedule_poll(state: SenderState) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -34,6 +34,21 @@
     return driver
 
 
+@pytest.mark.parametrize("kind", [UpdateKind.FULL, UpdateKind.CHANGES])
+def test_a_message_in_flight_while_its_last_endpoint_leaves_goes_to_the_next_one(kind: UpdateKind) -> None:
+    """Guards against messages that wait for the endpoints of a destination record that was removed."""
+    driver = make_driver("a:1")
+    driver.submit_message("m1")
+    gone = Endpoint("a:1", 1, EndpointState.GONE, "shop")
+    driver.handle_events(MembershipUpdate(kind, 2, () if kind is UpdateKind.FULL else (gone,)))
+    driver.finish_attempt("m1", AttemptStatus.FULL, not_run=True)
+    driver.list_endpoints("b:1")
+    assert driver.wait_until_sent("m1", 2 * SECOND) and driver.sends[-1][1].target == "b:1"
+    driver.finish_attempt("m1", AttemptStatus.OK)
+    driver.handle_events(MembershipUpdate(UpdateKind.FULL, 3, ()))
+    assert driver.sender.state.destinations == {}
+
+
 # --- retry schedule
 
 
