A connection to an address that its endpoint has left carries no request

Where an endpoint gets another address while a connection to the old one comes up, the request was written to the old address, where an endpoint of another destination may be. Change: the check right before the first byte compares the address as well (EndpointTable.accepts_calls_at), and a connection that is refused by the list is closed instead of kept. Test: nothing is written, the call has not run, the connection is closed.

--- a/honeybarrow/node/endpoint_list.py
+++ b/honeybarrow/node/endpoint_list.py
@@ -223,6 +223,10 @@
         """Return whether an endpoint accepts new calls."""
         return target in self.accepting
 
+    def accepts_calls_at(self, target: str, address: SocketAddress) -> bool:
+        """Return whether an endpoint accepts new calls and has this address."""
+        return target in self.accepting and self.addresses[target] == address
+
     def is_destination_listed(self, destination: int) -> bool:
         """Return whether a destination has been listed since the start of the process."""
         return destination in self.listed_destinations
--- a/honeybarrow/node/http_call.py
+++ b/honeybarrow/node/http_call.py
@@ -84,13 +84,16 @@
 
     def on_connection_ready(self, connection: HttpConnection) -> None:
         """Write the request, unless the call is no longer permitted."""
-        # While the connection was being established, the target may have left the list, another call may
-        # have received a Retry-After, or the key window may have ended.
+        # While the connection was being established, the target may have left the list or changed its
+        # address, another call may have received a Retry-After, or the key window may have ended.
         self.pool.read_arrived_responses()
-        is_unlisted = not self.pool.can_send_to(self.target)
+        is_unlisted = not self.pool.can_send_to(self.target, connection.address)
         if reason := "the target is no longer listed" if is_unlisted else self.permit.record_start():
             self.finish(AttemptOutcome(AttemptStatus.NOT_SENT, True, reason=reason))
-            self.pool.add_idle(connection)
+            if is_unlisted:
+                self.pool.retire(connection)
+            else:
+                self.pool.add_idle(connection)
             return
         now_s = self.pool.clock.seconds()
         if not self.is_started and self.connector is not None and self.timer is not None:
--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -30,10 +30,10 @@
     """Pool of connections to all targets.
 
     ``max_idle`` limits the idle connections, ``max_connections`` the idle and active ones together.
-    ``can_send_to`` returns whether the current endpoint list allows new calls to a target. ``report_surplus``
-    is called with each response that no request accounts for, ``report_retry_after`` with the target and the
-    wait of one that has told to wait, and ``report_over`` with messages of which one may be over by such a
-    response.
+    ``can_send_to`` returns whether the current endpoint list allows new calls to a target at an address.
+    ``report_surplus`` is called with each response that no request accounts for, ``report_retry_after`` with
+    the target and the wait of one that has told to wait, and ``report_over`` with messages of which one may be
+    over by such a response.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         idle_timeout_us: int,
         max_idle: int,
         load_report_fields: Sequence[str],
-        can_send_to: Callable[[str], bool],
+        can_send_to: Callable[[str, SocketAddress], bool],
         max_connections: int = UNLIMITED_CONNECTIONS,
         report_surplus: ReportSurplus = lambda response: None,
         report_retry_after: Callable[[str, int], object] = lambda target, retry_after_us: None,
--- a/honeybarrow/node/process.py
+++ b/honeybarrow/node/process.py
@@ -101,7 +101,7 @@
             settings.idle_timeout_us,
             budget.idle_endpoint_connections,
             settings.load_report_fields,
-            self.endpoints.accepts_calls,
+            self.endpoints.accepts_calls_at,
             budget.endpoint_connections,
             self.surplus_responses.record,
             lambda target, retry_after_us: self.forwarder.on_retry_after(target, retry_after_us),
--- a/tests/platform_bench.py
+++ b/tests/platform_bench.py
@@ -66,13 +66,15 @@
     def __init__(self) -> None:
         self.clock = MemoryReactorClock()
         self.accepts_calls = True
+        self.former_addresses: list[tuple[str, int]] = []  # that the endpoint has no more
         network: Any = self.clock
-        self.pool = HttpConnectionPool(
-            network, network, SECOND, 10 * SECOND, 4, ("x0",), lambda target: self.accepts_calls
-        )
+        self.pool = HttpConnectionPool(network, network, SECOND, 10 * SECOND, 4, ("x0",), self._can_send_to)
         self.outcomes: list[AttemptOutcome] = []
         self.permit = FakePermit()
 
+    def _can_send_to(self, target: str, address: tuple[str, int]) -> bool:
+        return self.accepts_calls and address not in self.former_addresses
+
     def call(self, target: str = "a") -> None:
         payload = HttpPayload("m1", "k1", b"body")
         result = self.pool.call(target, [("127.0.0.1", 9)], payload, 3 * SECOND, self.permit)
@@ -114,7 +116,9 @@
         reactor: Any = self.clock
         self.clock_us = lambda: int(self.clock.seconds() * 1e6)
         self.write_ahead_log = WriteAheadLog(str(folder), 1_000_000, make_clocks(self.clock_us))
-        self.pool = HttpConnectionPool(reactor, reactor, SECOND, 10 * SECOND, 4, (), lambda target: True)
+        self.pool = HttpConnectionPool(
+            reactor, reactor, SECOND, 10 * SECOND, 4, (), lambda target, address: True
+        )
         self.forwarder = Forwarder(
             make_settings(tenants=(Tenant("acme", 1000.0),), **changes),
             1,
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -53,7 +53,9 @@
     assert table.apply_update(parse_item(encode_item())) == [] and table.addresses_of("s1") == [
         ("10.0.0.1", 9)
     ]
+    assert table.accepts_calls_at("s1", ("10.0.0.1", 9))
     assert table.apply_update(parse_item(encode_item(address="10.0.0.2:9"))) == ["s1"]
+    assert not table.accepts_calls_at("s1", ("10.0.0.1", 9)) and table.accepts_calls_at("s1", ("10.0.0.2", 9))
     table.apply_update(parse_item(encode_item(status="leaving")))
     assert table.addresses_of("s1") == [] and not table.accepts_calls("s1")
     assert table.apply_update(parse_item(encode_item(status="left"))) == ["s1"] and table.addresses == {}
--- a/tests/test_golden_calls.py
+++ b/tests/test_golden_calls.py
@@ -112,7 +112,9 @@
 def call(payload: HttpPayload, left_us: int = 3 * SECOND) -> tuple[Any, list[Any]]:
     """Start a call on an in-memory reactor; return the reactor and the list of outcomes."""
     reactor: Any = testing.MemoryReactorClock()  # type: ignore[no-untyped-call]
-    pool = HttpConnectionPool(reactor, reactor, SECOND, 10 * SECOND, 4, ("cpu", "queue"), lambda target: True)
+    pool = HttpConnectionPool(
+        reactor, reactor, SECOND, 10 * SECOND, 4, ("cpu", "queue"), lambda target, address: True
+    )
     outcomes: list[Any] = []
     pool.call("a", [("127.0.0.1", 9)], payload, left_us, FakePermit()).addCallback(outcomes.append)
     return reactor, outcomes
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -161,6 +161,16 @@
     )
 
 
+def test_nothing_is_written_to_an_address_that_changed_during_the_connect() -> None:
+    """Guards against a request to an address where an endpoint of another destination may be by now."""
+    calls = CallBench()
+    calls.call()
+    calls.former_addresses.append(("127.0.0.1", 9))
+    connection, transport = calls.connect()
+    assert transport.value() == b"" and connection.is_closed and calls.pool.idle_count == 0
+    assert calls.outcomes[0].status is Status.NOT_SENT and calls.outcomes[0].not_run
+
+
 def test_a_call_whose_permit_is_withdrawn_during_the_connect_has_not_run() -> None:
     calls = CallBench()
     calls.call()
