--- a/honeybarrow/node/http_connection_pool.py
+++ b/honeybarrow/node/http_connection_pool.py
@@ -32,8 +32,8 @@
     ``max_idle`` limits the idle connections, ``max_connections`` the idle and active ones together.
     ``can_send_to`` returns whether the current endpoint list allows new calls to a target at an address.
     ``report_surplus`` is called with each response that no request accounts for, ``report_retry_after`` with
-    the target and the wait of one that has told to wait, and ``report_over`` with messages of which one may be
-    over by such a response.
+    the target and the wait of one that has told to wait, and ``report_over`` with messages of which one may
+    be over by such a response.
     """
 
     def __init__(
