Soak: bytes that a closing transport drops do not count as written

Cause: LinkConnection checked only connection_lost, which comes in a later iteration; once a transport closes, or its write has failed, it drops what it is given. Change: nothing is sent or counted while the transport is closing, and a write counts after the transport is seen to be open still. Copies alike. Test: on a socket, after a close and after a reset that the loop has not noticed; two of three cases failed before.

--- a/honeybarrow/soak/link.py
+++ b/honeybarrow/soak/link.py
@@ -197,7 +197,7 @@
 
     def _flush_outgoing(self) -> None:
         self._is_flush_scheduled = False
-        while self._outgoing and self.transport is not None and not self.is_lost:
+        while self._outgoing and self.transport is not None and self._can_write():
             head = self._outgoing[0]
             wait_s = self._remaining_delay_s(head.due_s)
             size = self.condition.trickle_chunk_bytes
@@ -213,10 +213,16 @@
                 return
             self._outgoing.popleft()
             self.transport.write(head.data)
+            if not self._can_write():  # the write has failed
+                return
             if head.on_written is not None:
                 head.on_written(time.monotonic())
             self._schedule_copies(head.data)
 
+    def _can_write(self) -> bool:
+        """Return whether the transport passes on what is written; once it closes, it drops all bytes."""
+        return self.transport is not None and not self.is_lost and not self.transport.is_closing()
+
     # copies
 
     def _schedule_copies(self, data: bytes) -> None:
@@ -227,12 +233,14 @@
                 self._loop.call_later(fault.delay_s, self._write_copy, fault, data)
 
     def _write_copy(self, fault: CopyFault, data: bytes) -> None:
-        if self.transport is None or self.is_lost or self.transport.is_closing() or self._rest_of_copy:
+        if self.transport is None or not self._can_write() or self._rest_of_copy:
             return
         first_bytes = len(data)
         if fault.form in (CopyForm.PARTS, CopyForm.CUT):
             first_bytes = draw_cut(data, self.condition.rng)
         self.transport.write(data[:first_bytes])
+        if not self._can_write():
+            return
         self.on_copied(data)
         if fault.form is CopyForm.PARTS:
             self._rest_of_copy = data[first_bytes:]
@@ -243,7 +251,7 @@
 
     def _write_rest_of_copy(self) -> None:
         rest, self._rest_of_copy = self._rest_of_copy, b""
-        if self.transport is not None and not self.is_lost:
+        if self.transport is not None and self._can_write():
             self.transport.write(rest)
 
     def _remaining_delay_s(self, due_s: float) -> float:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import socket
+import struct
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -11,6 +14,7 @@
 from benchmarks.soak_mutants import MUTANTS, make_source
 from honeybarrow.soak.fault_shim import NoCompilerError, build_shim
 from honeybarrow.soak.history import ClientRequest, EventKind, History
+from honeybarrow.soak.link import LinkCondition, LinkConnection
 from honeybarrow.soak.plan import Fault, FaultKind, SoakSpec, draw_faults
 from honeybarrow.soak.rules import RuleChecker, SoakRule
 from honeybarrow.soak.run import SoakResult, run_soak
@@ -307,6 +311,33 @@
     assert messages[0].first_byte_s == 0.0 < messages[0].last_byte_s <= messages[1].first_byte_s
 
 
+@pytest.mark.parametrize("ending", ["open", "closed", "lost"])
+def test_bytes_that_the_transport_drops_do_not_count_as_written(ending: str) -> None:
+    """Guards against answers that nobody was sent, which would hide lost messages from the checker."""
+
+    async def run() -> list[float]:
+        loop, written = asyncio.get_running_loop(), list[float]()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            far = socket.create_connection(listener.getsockname())
+            near, _ = listener.accept()
+        near.setblocking(False)
+        connection = LinkConnection(LinkCondition())
+        await loop.connect_accepted_socket(lambda: connection, near)
+        if ending == "closed":
+            connection.close()
+        elif ending == "lost":
+            far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            far.close()  # a reset that the loop has not noticed yet
+        connection.send(b"HTTP/1.1 200 OK\r\n\r\n", written.append)
+        await asyncio.sleep(0.05)
+        connection.send(b"more", written.append)
+        connection.close()
+        far.close()
+        return written
+
+    assert len(asyncio.run(run())) == (2 if ending == "open" else 0)
+
+
 def test_each_soak_mutant_can_be_created(tmp_path: Path) -> None:
     for number, mutant in enumerate(MUTANTS.values()):
         make_source(mutant, tmp_path / str(number))
