An uncertain connection with a spoilt response is read until its call is repeated

Cause: a copy of a's response is read as b's, b's true and spoilt response as c's, and HttpConnection.dataReceived closed the connection before the 410 to c came. Change: on a reused connection an invalid response fails the call as before, with the hold that a 503 has there; the connection carries no more requests, is read meanwhile and closed before the call is repeated. A 410 or 504 in those bytes ends the messages that it may be for. Tests: twelve cases, which before fail with a second call, and one in which nothing follows and the message is repeated.

--- a/honeybarrow/node/http_connection.py
+++ b/honeybarrow/node/http_connection.py
@@ -73,6 +73,7 @@
         self._request_written_at_s = 0.0
         self._is_response_premature = False  # it began before the end of its request was written
         self._surplus = b""
+        self._awaits_true_response = False  # behind an invalid one that may belong to an earlier request
         self._last_response: UnconfirmedResponse | None = None  # of the last call, if it awaits a verdict
         self._last_failed_message = ""  # whose call was the last one and may be repeated
         # Confirmed by silence alone; no later response shows that their requests were answered at all.
@@ -116,7 +117,6 @@
                     self._on_response_complete(reuse)
                 case http.InvalidResponse():
                     self._on_invalid_response(event)
-                    self.close()
         self._finish_by_status_line()
 
     def _finish_by_status_line(self) -> None:
@@ -165,6 +165,8 @@
             return
         if self._is_surplus_end():
             self.pool.report_over((*self.doubtful_messages, self._last_failed_message))
+        elif self._awaits_true_response and len(self._surplus) < MAX_SURPLUS_BYTES:
+            return
         retry_after_us = _read_retry_after(self._surplus)
         if retry_after_us:
             self.pool.report_retry_after(self.target, retry_after_us)
@@ -247,7 +249,15 @@
         remedy = "tell the target's owner: its responses are not valid HTTP/1.1 within the protocol's limits"
         self.pool.rate_limited_log.warn("invalid_response", f"{self.target}: {event.reason}", remedy)
         reason = f"invalid response: {event.reason}"
-        self.finish_call(self.classify_partial(AttemptStatus.RESET, reason))
+        is_uncertain = self.call is not None and not self.pairing.is_next_certain
+        outcome = self.classify_partial(AttemptStatus.RESET, reason)
+        self.finish_call(outcome)
+        if is_uncertain and not outcome.is_over and outcome.status is not AttemptStatus.OK:
+            # It may be the response to an earlier request. That of the call follows, and may end its message.
+            self._awaits_true_response = True
+            self.pool.retire_after_hold(self)
+        else:
+            self.close()
 
     def classify_partial(self, status: AttemptStatus, reason: str) -> AttemptOutcome:
         """Return the outcome of a response of which only a part has arrived.
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from pathlib import Path
 
@@ -202,3 +203,58 @@
     assert notified == expected
     assert [harness.count_calls(message) for message in sorted(expected)] == [1] * len(expected)
     harness.close()
+
+
+SPOILT_RESPONSES = {
+    "no status line": b"HTTP/1.1 2\x00\xff garbage\n\n",
+    "invalid field": b"HTTP/1.1 503 No\r\nspoilt\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("spoilt", SPOILT_RESPONSES.values(), ids=SPOILT_RESPONSES)
+@pytest.mark.parametrize("after_s", [0.001, 0.01, 0.04])
+@pytest.mark.parametrize("more", [b"", b"more garbage\n"])
+def test_a_410_behind_a_spoilt_response_to_an_earlier_request_ends_its_message(
+    tmp_path: Path, spoilt: bytes, after_s: float, more: bytes
+) -> None:
+    """Guards against a connection that is closed before the status of its last request is read.
+
+    A copy of the first response is read as that of the second request, whose spoilt response is read as that
+    of the third one.
+    """
+    harness = ForwarderHarness(tmp_path)
+    try:
+        connection = call_message(harness, "m1", is_reused=True)
+        connection.write(OK)  # the copy
+        harness.advance_until(lambda: harness.process.pool.idle_count == 1)
+        harness.submit("m2", left_ms=LEFT_MS)
+        assert harness.read_call("m2") is connection
+        connection.write(spoilt)
+        harness.advance(after_s, 0.001)
+        for data in (more, GONE):
+            with contextlib.suppress(OSError):  # a connection that is closed must not be the only failure
+                connection.write(data)
+            harness.run_turns(3)
+        is_notified = False
+        for _ in range(int(SECONDS / 0.5)):
+            harness.advance(0.5)
+            is_notified |= "m2" in [each["message"] for each in harness.receive_notifications()]
+            for each in harness.target.accept_connections():
+                if not each.ending and each is not connection and b"POST " in each.read():
+                    each.write(OK)
+        assert harness.count_calls("m2") == 1 and is_notified
+    finally:
+        harness.close()
+
+
+def test_a_call_with_a_spoilt_response_on_a_reused_connection_is_repeated(tmp_path: Path) -> None:
+    """The wait for a later status has a bound: without one, the message goes on."""
+    harness = ForwarderHarness(tmp_path)
+    try:
+        connection = call_message(harness, "m1", is_reused=True)
+        connection.write(SPOILT_RESPONSES["no status line"])
+        harness.advance_until(lambda: harness.count_calls("m1") == 2, 2.0)
+        connection.read()
+        assert connection.ending
+    finally:
+        harness.close()
