Test of a new process's list: the kill comes after the 429 answers were read

Trace: the test killed the process when a stand-in had received the call, not when the 429 was read. If pay-1 is the one that is out, the next process ends it (message_ended_at_start, outcome=failed), which is right: it may have run and must not run twice. Change: the test waits until each call has its attempt_failed with status 429 in the log. Checks and bounds as before.

--- a/tests/test_list_after_restart.py
+++ b/tests/test_list_after_restart.py
@@ -104,6 +104,10 @@
             self.calls_at.append((name, message_id, time.monotonic()))
             writer.write(self.choose_answer(message_id) or b"")
 
+    def has_read_all_answers(self) -> bool:
+        """Return whether the forwarder knows that no call has run; a kill before that leaves it ambiguous."""
+        return 0 < len(self.calls_at) <= self.read_log().count("response_status=429")
+
     async def restart_with(self, behavior: Discovery) -> float:
         """Kill the forwarder, let discovery behave so from then on, start again; return when it started."""
         await self.end_forwarder(signal.SIGKILL)
@@ -143,7 +147,7 @@
         platform.choose_answer = lambda message: WAIT_ANSWER
         for message in MESSAGES:
             assert await platform.submit(message, message.split("-")[0]) == 202
-        await platform.wait_until(lambda: platform.calls_at)  # the others wait for the same time
+        await platform.wait_until(platform.has_read_all_answers)  # the others wait for the same time
         started_s = await platform.restart_with(behavior)
         await platform.wait_until(
             lambda: {call[1] for call in platform.calls_at} == {*MESSAGES}, latest_s + 2.0
