Review case 6: a payment is refused by the front while its call is out, and runs twice

Change: a case for the rule on duplicates on the mail forwarder. The limit for slow transactions ends sessions that wait for their result 15 s after MAIL with 421, also while the call of a message that must not run twice is out; handed in again at the other forwarder it runs again.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A keyed message that its client names by an envelope id and hands in again after its first call was reset."""
+"""A message that must not run twice, refused by the front while its call is out."""
 
 from __future__ import annotations
 
@@ -10,48 +10,62 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from mail_2 import DEADLINE_S, Partner, find_second_effects, start_mail_forwarder, submit  # noqa: E402
+from mail_2 import Partner, start_mail_forwarder, submit  # noqa: E402
 from peers_2 import Bench, CannotRunError, has_trouble, run_case  # noqa: E402
 
-RESETS_S = 1.2  # from the first hand-in, in which the partners do the work and reset the connection
-RESET_AFTER_S = 0.6  # from the end of a message to the reset
-GIVE_UP_S = 0.4  # after which a client closes its connection
-AGAIN_AFTER_S = 1.0  # until it hands the message in again
-PARTNERS = 5
+CLASS_NAME, DEADLINE_S = "payment", 28.0
+PAYMENT = (
+    f'message_class("{CLASS_NAME}", aim = "2s", deadline = "{DEADLINE_S:.0f}s", effect = "unsafe", '
+    "worth = 3.0, late_share = 0.3)"
+)
+PARTNERS = 60
+SHUT_S = (9.0, 13.0)  # shortest and longest, from the first message
+WORK_S = 0.55  # of a call
+AGAIN_AFTER_S = 1.0  # from a refusal to the next time that the message is handed in
 
 
 async def case(bench: Bench) -> list[str]:
-    """Run the case; return the messages that took effect twice."""
-    resets_until_s = 0.0
+    """Run the case; return the messages that were refused and took effect."""
 
-    async def reset() -> bool:
-        if bench.record.now_s() >= resets_until_s:
-            return False
-        await asyncio.sleep(RESET_AFTER_S)
-        return True
+    async def work() -> bool:
+        await asyncio.sleep(WORK_S)
+        return False
 
-    partners = [Partner(bench, number, reset) for number in range(1, PARTNERS + 1)]
+    partners = [Partner(bench, number, work) for number in range(1, PARTNERS + 1)]
     for partner in partners:
+        partner.drops_repeats = False  # of a class that must not run twice
         await partner.start()
-    port = await start_mail_forwarder(bench, partners)
-    resets_until_s = bench.record.now_s() + RESETS_S if has_trouble() else 0.0
+    ports = [await start_mail_forwarder(bench, partners, PAYMENT, f"forwarder-{each}") for each in (1, 2)]
+    if has_trouble():
+        for index, partner in enumerate(partners):
+            shut_s = SHUT_S[0] + (SHUT_S[1] - SHUT_S[0]) * index / (PARTNERS - 1)
+            partner.opens_s = bench.record.now_s() + shut_s
+    refused: dict[str, float] = {}
 
     async def hand_in(partner: Partner) -> None:
         order = os.urandom(6).hex()
-        if await submit(bench, port, partner, order, GIVE_UP_S, uses_envelope_id=True):
+        answer = await submit(bench, ports[0], partner, order, DEADLINE_S + 2.0, class_name=CLASS_NAME)
+        if not answer.startswith("4"):
             return
+        # Refused: it is harmless to hand it in again, and the front hands it to another forwarder.
+        refused[order] = bench.record.now_s()
         await asyncio.sleep(AGAIN_AFTER_S)
-        await submit(bench, port, partner, order, DEADLINE_S + 2.0, uses_envelope_id=True)
+        await submit(bench, ports[1], partner, order, DEADLINE_S + 2.0, class_name=CLASS_NAME)
 
     await asyncio.gather(*[hand_in(partner) for partner in partners])
     await asyncio.sleep(1.0)
     if not all(partner.ran for partner in partners):
         raise CannotRunError("not all partners got their message")
-    return [
-        f"{order} ran {len(times)} times at {partner.name}: again {times[1] - times[0]:.3f} s after the first "
-        f"time"
-        for partner, order, times in find_second_effects(partners)
-    ]
+    broken = []
+    for partner in partners:
+        for order, times in partner.ran.items():
+            if len(times) > 1 or times[0] < refused.get(order, 0.0):
+                again = f", again {times[1] - times[0]:.3f} s after the first time" if len(times) > 1 else ""
+                broken.append(
+                    f"{order} must not run twice; it ran {len(times)} times at {partner.name}: first "
+                    f"{refused.get(order, 0.0) - times[0]:.3f} s before its client was refused{again}"
+                )
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A keyed message that its client hands in again, in time, while its first call has no answer."""
+"""A keyed message that its client names by an envelope id and hands in again after its first call was reset."""
 
 from __future__ import annotations
 
@@ -13,46 +13,44 @@
 from mail_2 import DEADLINE_S, Partner, find_second_effects, start_mail_forwarder, submit  # noqa: E402
 from peers_2 import Bench, CannotRunError, has_trouble, run_case  # noqa: E402
 
-HANG_S = 12.0  # for which the partners take calls and answer none
+RESETS_S = 1.2  # from the first hand-in, in which the partners do the work and reset the connection
+RESET_AFTER_S = 0.6  # from the end of a message to the reset
 GIVE_UP_S = 0.4  # after which a client closes its connection
-AGAIN_AFTER_S = 0.4  # until it hands the message in again
+AGAIN_AFTER_S = 1.0  # until it hands the message in again
 PARTNERS = 5
-LENGTH_S = 26.0
 
 
 async def case(bench: Bench) -> list[str]:
     """Run the case; return the messages that took effect twice."""
-    hang_until_s = 0.0
+    resets_until_s = 0.0
 
-    async def hang() -> bool:
-        left_s = hang_until_s - bench.record.now_s()
-        await asyncio.sleep(max(0.0, left_s))
-        return left_s > 0
+    async def reset() -> bool:
+        if bench.record.now_s() >= resets_until_s:
+            return False
+        await asyncio.sleep(RESET_AFTER_S)
+        return True
 
-    partners = [Partner(bench, number, hang) for number in range(1, PARTNERS + 1)]
+    partners = [Partner(bench, number, reset) for number in range(1, PARTNERS + 1)]
     for partner in partners:
         await partner.start()
     port = await start_mail_forwarder(bench, partners)
-    start_s = bench.record.now_s()
-    hang_until_s = start_s + HANG_S if has_trouble() else 0.0
-    again_s: dict[str, float] = {}
+    resets_until_s = bench.record.now_s() + RESETS_S if has_trouble() else 0.0
 
     async def hand_in(partner: Partner) -> None:
-        message = os.urandom(6).hex()
-        if await submit(bench, port, partner, message, GIVE_UP_S):
+        order = os.urandom(6).hex()
+        if await submit(bench, port, partner, order, GIVE_UP_S, uses_envelope_id=True):
             return
         await asyncio.sleep(AGAIN_AFTER_S)
-        again_s[message] = bench.record.now_s()
-        await submit(bench, port, partner, message, DEADLINE_S + 2.0)
+        await submit(bench, port, partner, order, DEADLINE_S + 2.0, uses_envelope_id=True)
 
     await asyncio.gather(*[hand_in(partner) for partner in partners])
-    await asyncio.sleep(max(0.0, start_s + LENGTH_S - bench.record.now_s()) if has_trouble() else 1.0)
+    await asyncio.sleep(1.0)
     if not all(partner.ran for partner in partners):
         raise CannotRunError("not all partners got their message")
     return [
-        f"{message} ran {len(times)} times at {partner.name}: again {times[1] - times[0]:.3f} s after the "
-        f"first time, handed in again {again_s.get(message, times[0]) - times[0]:.3f} s after it"
-        for partner, message, times in find_second_effects(partners)
+        f"{order} ran {len(times)} times at {partner.name}: again {times[1] - times[0]:.3f} s after the first "
+        f"time"
+        for partner, order, times in find_second_effects(partners)
     ]
 
 
--- a/review/mail_2.py
+++ b/review/mail_2.py
@@ -1,4 +1,4 @@
-"""Peers of the mail forwarder for the cases 6 to 8: a register, partners and a client, on loopback."""
+"""Peers of the mail forwarder for the cases 6 to 9: a register, partners and a client, on loopback."""
 
 from __future__ import annotations
 
@@ -31,6 +31,8 @@
 
     def __init__(self, bench: Bench, number: int, withhold: Callable[[], Awaitable[bool]]) -> None:
         self.bench, self.number, self.port, self.withhold = bench, number, 0, withhold
+        self.opens_s = 0.0  # until then it is shut and tells for how long
+        self.drops_repeats = True
         self.name = f"pharmacy-{number}.example"
         self.ran: dict[str, list[float]] = {}  # times at which a message took effect, by its order
         self.known: dict[str, float] = {}  # time of the last effect, by the id of the message
@@ -43,11 +45,18 @@
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one session."""
         writer.write(f"220 {self.name} ready\r\n".encode())
-        envelope_id = ""
+        envelope_id: str | None = ""
         while True:
             line = (await read_line(reader)).decode()
             verb = line[:4].upper()
-            if verb == "DATA":
+            shut_ms = int((self.opens_s - self.bench.record.now_s()) * 1000) + 1
+            if verb == "MAIL" and shut_ms > 0:
+                self.bench.record.add(self.name, "is shut for", shut_ms, "ms")
+                writer.write(f"452 4.3.1 [wait={shut_ms}] shut\r\n".encode())
+                envelope_id = None
+            elif envelope_id is None and verb in ("RCPT", "DATA"):
+                writer.write(b"503 5.5.1 MAIL first\r\n")
+            elif verb == "DATA":
                 writer.write(b"354 go ahead\r\n")
                 order, message_id = await self.read_content(reader)
                 self.take(order, envelope_id or message_id)
@@ -56,7 +65,9 @@
                     return
                 writer.write(b"250 2.0.0 done\r\n")
             elif verb == "EHLO":
-                writer.write(b"250-hello\r\n250-PIPELINING\r\n250-XENVID\r\n250 ENHANCEDSTATUSCODES\r\n")
+                writer.write(
+                    b"250-hello\r\n250-PIPELINING\r\n250-XENVID\r\n250-XADVICE\r\n250 ENHANCEDSTATUSCODES\r\n"
+                )
             elif verb == "QUIT":
                 writer.write(b"221 2.0.0 bye\r\n")
                 return
@@ -80,7 +91,7 @@
     def take(self, order: str, message_id: str) -> None:
         """Let a message take effect, unless it is a repeat that the partner still recognizes."""
         now_s = self.bench.record.now_s()
-        is_repeat = now_s <= self.known.get(message_id, -1e9) + WINDOW_S + SLACK_S
+        is_repeat = self.drops_repeats and now_s <= self.known.get(message_id, -1e9) + WINDOW_S + SLACK_S
         what = "dropped the repeat of" if is_repeat else "ran"
         self.bench.record.add(self.name, what, order, "by the id", message_id)
         if not is_repeat:
@@ -89,7 +100,13 @@
 
 
 async def submit(
-    bench: Bench, port: int, partner: Partner, order: str, wait_s: float, uses_envelope_id: bool = False
+    bench: Bench,
+    port: int,
+    partner: Partner,
+    order: str,
+    wait_s: float,
+    uses_envelope_id: bool = False,
+    class_name: str = CLASS_NAME,
 ) -> str:
     """Hand in a message over SMTP; return the reply, or an empty text if the client gave up waiting.
 
@@ -113,7 +130,7 @@
         await reply()
         await command("EHLO chain.example")
         await command(f"MAIL FROM:<orders@chain.example>{envelope_id}")
-        answer = await command(f"RCPT TO:<{CLASS_NAME}@{partner.name}>")
+        answer = await command(f"RCPT TO:<{class_name}@{partner.name}>")
         if answer[:1] != "2":
             raise CannotRunError(answer)
         await command("DATA")
@@ -145,8 +162,16 @@
         return int(probe.getsockname()[1])
 
 
-async def start_mail_forwarder(bench: Bench, partners: list[Partner]) -> int:
-    """Start the mail forwarder and the register that lists the partners; return the port of its front."""
+REFILL_ORDER = (
+    f'message_class("{CLASS_NAME}", aim = "4s", deadline = "{DEADLINE_S:.0f}s", effect = "keyed", '
+    f'window = "{WINDOW_S:.0f}s", worth = 2.0, late_share = 0.5)'
+)
+
+
+async def start_mail_forwarder(
+    bench: Bench, partners: list[Partner], message_class: str = REFILL_ORDER, name: str = "forwarder-1"
+) -> int:
+    """Start a mail forwarder and a register that lists the partners; return the port of its front."""
     endpoints = [
         {
             "target": f"{each.name}-a", "destination": each.number, "state": "ready", "zone": "", "weight": 20.0,
@@ -164,17 +189,17 @@
 
     _, address = await bench.serve(register)
     port = free_port()
-    (bench.folder / "forwarder.star").write_text(
-        f"""classes = [message_class("{CLASS_NAME}", aim = "4s", deadline = "{DEADLINE_S:.0f}s", effect = "keyed",
-    window = "{WINDOW_S:.0f}s", worth = 2.0, late_share = 0.5)]
-example = forwarder("forwarder-1", classes = classes, kinds = [kind("independent")],
+    script = bench.folder / f"{name}.star"
+    script.write_text(
+        f"""classes = [{message_class}]
+example = forwarder("{name}", classes = classes, kinds = [kind("independent")],
     register = register(port = {address.rpartition(":")[2]}), listen = [listen("smtp", port = {port})],
-    slots = 16, max_open = 64, max_wait = "3s")
+    slots = 32, max_open = 200, max_wait = "3s")
 """
     )
     with open(bench.folder / "log", "ab") as log:
         process = await asyncio.create_subprocess_exec(
-            str(ROOT / ".venv/bin/python"), "-m", "honeybarrow", "run", str(bench.folder / "forwarder.star"),
+            str(ROOT / ".venv/bin/python"), "-m", "honeybarrow", "run", str(script),
             cwd=ROOT, env={"PATH": os.environ.get("PATH", ""), "TMPDIR": str(bench.folder)},
             stdout=log, stderr=log,
         )  # fmt: skip
