--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A message that must not run twice, refused by the front while its call is out."""
+"""A message that must not run twice, refused by the front while its call is out, and handed in again."""
 
 from __future__ import annotations
 
@@ -68,5 +68,10 @@
     return broken
 
 
+def main() -> int:
+    """Run the case; return the exit status."""
+    return run_case(case, HERE)
+
+
 if __name__ == "__main__":
-    sys.exit(run_case(case, HERE))
+    sys.exit(main())
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A keyed message that its client names by an envelope id and hands in again after its first call was reset."""
+"""A keyed message, named by an envelope id, that is handed in again after its first call was reset."""
 
 from __future__ import annotations
 
@@ -48,11 +48,16 @@
     if not all(partner.ran for partner in partners):
         raise CannotRunError("not all partners got their message")
     return [
-        f"{order} ran {len(times)} times at {partner.name}: again {times[1] - times[0]:.3f} s after the first "
-        f"time"
+        f"{order} ran {len(times)} times at {partner.name}: again {times[1] - times[0]:.3f} s after the "
+        "first time"
         for partner, order, times in find_second_effects(partners)
     ]
 
 
+def main() -> int:
+    """Run the case; return the exit status."""
+    return run_case(case, HERE)
+
+
 if __name__ == "__main__":
-    sys.exit(run_case(case, HERE))
+    sys.exit(main())
--- a/review/mail_2.py
+++ b/review/mail_2.py
@@ -174,7 +174,8 @@
     """Start a mail forwarder and a register that lists the partners; return the port of its front."""
     endpoints = [
         {
-            "target": f"{each.name}-a", "destination": each.number, "state": "ready", "zone": "", "weight": 20.0,
+            "target": f"{each.name}-a", "destination": each.number, "state": "ready", "zone": "",
+            "weight": 20.0,
             "addresses": [{"host": "127.0.0.1", "port": each.port, "protocol": "smtp"}],
         }
         for each in partners
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -48,7 +48,8 @@
     """Return the settings of a small deployment in which lists are asked for."""
     limits = {
         "cancel": True, "connIdleUs": 10_000_000, "connectTimeoutUs": 1_500_000, "maxOpen": 400,
-        "sendCap": 12, "maxRetryAfterUs": 3_000_000, "retryAfter": True, "secondCopies": False, "streamsPerConn": 1,
+        "sendCap": 12, "maxRetryAfterUs": 3_000_000, "retryAfter": True, "secondCopies": False,
+        "streamsPerConn": 1,
     }  # fmt: skip
     guarantees = {
         "askWithinUs": 10_000_000, "drainGraceUs": drain_grace_ms * 1000, "fallMultiple": 2.0,
@@ -455,51 +456,6 @@
         return self.sent_s[message] + self.left_s[message]
 
 
-class Link:
-    """A path to a peer that can be cut: open connections fall silent, new ones reset when it is back."""
-
-    def __init__(self, bench: Bench, peer: str) -> None:
-        self.bench, self.peer, self.address = bench, peer, ""
-        self.is_whole = asyncio.Event()
-        self.is_whole.set()
-
-    async def start(self) -> None:
-        """Start to listen."""
-        _, self.address = await self.bench.serve(self.handle)
-
-    def cut(self) -> None:
-        """Let nothing pass any more."""
-        self.bench.record.add("link cut")
-        self.is_whole.clear()
-
-    def mend(self) -> None:
-        """Let everything pass again, with what was held back."""
-        self.bench.record.add("link back")
-        self.is_whole.set()
-
-    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Pass the bytes of one connection in both directions."""
-        if not self.is_whole.is_set():
-            await self.is_whole.wait()
-            writer.transport.abort()
-            return
-        host, _, port = self.peer.rpartition(":")
-        there, back = await asyncio.open_connection(host, int(port))
-        try:
-            await asyncio.gather(self.pass_bytes(reader, back), self.pass_bytes(there, writer))
-        finally:
-            back.close()
-
-    async def pass_bytes(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Pass the bytes of one direction."""
-        while data := await reader.read(1 << 16):
-            await self.is_whole.wait()
-            writer.write(data)
-        await self.is_whole.wait()
-        if writer.can_write_eof():
-            writer.write_eof()
-
-
 Case = Callable[[Bench], Awaitable[list[str]]]
 
 
