The soak draws a crowded discovery at reloads, restarts and in service

Change: fault discovery_crowd: the calls of one forwarder end after 0 to 2 s from a reload, a restart or the end of its watch on, while an endpoint is replaced. Every second forwarder gets pushed lists. A crowd in service counts as an outage for the check of drains, since the watch ended.

--- a/honeybarrow/soak/discovery.py
+++ b/honeybarrow/soak/discovery.py
@@ -12,6 +12,7 @@
 from honeybarrow.soak.history import EventKind, History
 from honeybarrow.soak.http_messages import HttpMessage, HttpMessageReader
 from honeybarrow.soak.link import LinkCondition, LinkConnection
+from honeybarrow.soak.plan import CrowdedCallEnd
 from honeybarrow.soak.settings import CAPACITY_PER_S
 
 HEARTBEAT_INTERVAL_S = 2.0
@@ -30,6 +31,14 @@
     status: str  # "active", "leaving" or "left"
 
 
+@dataclass(frozen=True, slots=True)
+class CrowdedCalls:
+    """How discovery treats the calls of one forwarder while it is crowded."""
+
+    wait_s: float
+    end: CrowdedCallEnd
+
+
 class _DiscoveryConnection(LinkConnection):
     """Connection from a forwarder to the discovery service."""
 
@@ -64,6 +73,7 @@
         self.changes: list[ListChange] = []
         self.statuses: dict[str, ListChange] = {}
         self.is_down = False
+        self.crowded_calls: dict[str, CrowdedCalls] = {}  # by forwarder
         self.links: dict[str, LinkCondition] = {}
         self.addresses: dict[str, list[str]] = {}  # two for each forwarder
         self.watches: dict[_DiscoveryConnection, None] = {}
@@ -119,12 +129,27 @@
         if self.is_down:
             connection.send(UNAVAILABLE_RESPONSE)
             return
+        if (crowded := self.crowded_calls.get(connection.forwarder)) is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(crowded.wait_s, self._end_crowded_call, connection, crowded.end)
+            return
         connection.send(WATCH_RESPONSE_HEAD)
         index = _INDEX.search(request.start_line)
         connection.watched_version = int(index[1]) if index else None
         self.watches[connection] = None
         self._send_changes(connection)
 
+    def _end_crowded_call(self, connection: _DiscoveryConnection, end: CrowdedCallEnd) -> None:
+        if end is CrowdedCallEnd.REJECTED:
+            connection.send(UNAVAILABLE_RESPONSE)
+        else:
+            connection.reset()
+
+    def reset_watches(self, forwarder: str) -> None:
+        """Reset the watches of one forwarder."""
+        for watch in [each for each in self.watches if each.forwarder == forwarder]:
+            watch.reset()
+
     def _send_changes(self, connection: _DiscoveryConnection) -> None:
         is_whole_list = connection.watched_version is None
         sent_version = connection.watched_version or 0
--- a/honeybarrow/soak/plan.py
+++ b/honeybarrow/soak/plan.py
@@ -37,6 +37,7 @@
     CLIENT_LINK = "client_link"
     DISCOVERY_DOWN = "discovery_down"  # watches are reset and refused
     DISCOVERY_LINK = "discovery_link"
+    DISCOVERY_CROWD = "discovery_crowd"  # calls of one forwarder wait and fail while an endpoint is replaced
     REPLACE = "replace"  # an endpoint is drained and removed, and another one added
     COPY = "copy"  # copies of what the endpoints of a destination, or the platform, send to a forwarder
     CROWD = "crowd"  # more idle client connections than the forwarder has descriptors
@@ -45,6 +46,21 @@
     TAKE_OVER = "take_over"  # an endpoint of another destination starts at the address of one that ends
 
 
+class CrowdStart(enum.StrEnum):
+    """With what a forwarder's calls to a crowded discovery begin."""
+
+    RELOAD = "reload"  # SIGHUP with another discovery address
+    RESTART = "restart"  # kill and new start
+    SERVICE = "service"  # its watch is reset
+
+
+class CrowdedCallEnd(enum.StrEnum):
+    """How a call to a crowded discovery ends after its wait."""
+
+    REJECTED = "rejected"  # 503
+    RESET = "reset"
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault.
@@ -121,12 +137,14 @@
     FaultKind.TAKE_OVER: 0.5,
     FaultKind.OUTAGE: 0.2,
     FaultKind.DISCOVERY_DOWN: 0.3,
+    FaultKind.DISCOVERY_CROWD: 2.0,
     FaultKind.ENDPOINT_VANISH: 0.5,
 }
 
 
 _KILL_DELAYS_S = (0.0, 0.01, 0.08, 0.4)  # after the end of a message was told
 MAX_WAIT_FOR_END_S = 5.0
+MAX_DISCOVERY_WAIT_S = 2.0  # after which a call that waits for its turn fails
 _LINK_KINDS = (FaultKind.LINK, FaultKind.CLIENT_LINK, FaultKind.DISCOVERY_LINK)
 COPIED_LINKS = ("endpoints", "endpoints", "platform")  # what a copy fault applies to, by frequency
 _ENDPOINT_KINDS = (
@@ -166,6 +184,10 @@
             crowd = rng.choice(tuple(CrowdKind))
             clients = 1 if crowd in FLOOD_KINDS else int(spec.descriptors * rng.choice((0.2, 0.4, 0.6)))
             return Fault(kind, start_s, rng.uniform(1.0, 4.0), forwarder, clients, detail=crowd.value)
+        case FaultKind.DISCOVERY_CROWD:
+            detail = f"{rng.choice(tuple(CrowdStart))} {rng.choice(tuple(CrowdedCallEnd))}"
+            wait_s = rng.choice((0.0, 0.3, 1.2, MAX_DISCOVERY_WAIT_S))
+            return Fault(kind, start_s, rng.uniform(4.0, 11.0), forwarder, wait_s, detail=detail)
         case FaultKind.TAKE_OVER:
             return Fault(kind, start_s, 0.0, endpoint, rng.choice((0.0, 0.1, 0.4)))
     return _draw_process_fault(kind, start_s, forwarder, rng)
--- a/honeybarrow/soak/rules.py
+++ b/honeybarrow/soak/rules.py
@@ -15,7 +15,7 @@
 from honeybarrow.soak import settings
 from honeybarrow.soak.forwarder_process import OVER_MEMORY_LIMIT
 from honeybarrow.soak.history import EventKind, History
-from honeybarrow.soak.plan import Fault, FaultKind
+from honeybarrow.soak.plan import CrowdStart, Fault, FaultKind
 from honeybarrow.soak.rule_records import NEVER, Call, Interval, MessageRecord
 
 SCHEDULING_DELAY_S = 0.2  # tolerated scheduling delay of the stand-ins and the forwarders
@@ -346,6 +346,7 @@
         kinds = (FaultKind.DISCOVERY_DOWN, FaultKind.DISCOVERY_LINK)
         disturbances = [
             *self._fault_intervals(forwarder, kinds),
+            *self._crowds_in_service(forwarder),
             *self.outages_by_forwarder.get(forwarder, ()),
         ]
         for _ in range(len(disturbances) + 1):
@@ -354,6 +355,16 @@
                     latest_s = max(latest_s, interval.end_s + LIST_PROPAGATION_S)
         return latest_s
 
+    def _crowds_in_service(self, forwarder: str) -> list[Interval]:
+        """Return when discovery failed calls after the end of a watch, as it does when it is down."""
+        faults = [each for each in self.faults if each.detail.startswith(CrowdStart.SERVICE.value)]
+        start_s = self.load_started_s
+        return [
+            Interval(start_s + each.start_s, start_s + each.start_s + each.duration_s)
+            for each in faults
+            if each.kind is FaultKind.DISCOVERY_CROWD and each.target == forwarder
+        ]
+
     def _check_order(self) -> None:
         """Check that messages of one order key are sent one at a time, in the order of their acceptance."""
         by_key: dict[tuple[str, str], list[MessageRecord]] = defaultdict(list)
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -18,7 +18,7 @@
 from honeybarrow.soak import settings
 from honeybarrow.soak.clients import ClientPool, ConnectionFlood
 from honeybarrow.soak.crowds import CrowdKind, CrowdProcess
-from honeybarrow.soak.discovery import StandInDiscovery
+from honeybarrow.soak.discovery import CrowdedCalls, StandInDiscovery
 from honeybarrow.soak.endpoints import EndpointMode, StandInEndpoint
 from honeybarrow.soak.fault_shim import FaultShim, SystemCall
 from honeybarrow.soak.forwarder_process import ForwarderUnderTest, free_ports, raise_descriptor_limit
@@ -26,7 +26,7 @@
 from honeybarrow.soak.impairments import make_impairment
 from honeybarrow.soak.link import LinkCondition
 from honeybarrow.soak.message_account import MessageAccount
-from honeybarrow.soak.plan import Fault, FaultKind, SoakSpec, draw_faults
+from honeybarrow.soak.plan import CrowdedCallEnd, CrowdStart, Fault, FaultKind, SoakSpec, draw_faults
 from honeybarrow.soak.rule_records import count_messages
 from honeybarrow.soak.rules import RuleChecker, SoakRule, SoakViolation
 
@@ -146,7 +146,7 @@
         forwarder = ForwarderUnderTest(
             name,
             folder,
-            settings.make_forwarder_settings(self.spec.forwarders),
+            settings.make_forwarder_settings(self.spec.forwarders, len(self.forwarders) % 2 == 1),
             self.discovery,
             self.history,
             self.shims.get(name),
@@ -232,6 +232,7 @@
             FaultKind.CLIENT_LINK: self._impair_client_link,
             FaultKind.DISCOVERY_DOWN: self._stop_discovery,
             FaultKind.DISCOVERY_LINK: self._impair_discovery_link,
+            FaultKind.DISCOVERY_CROWD: self._crowd_discovery,
             FaultKind.REPLACE: self._replace_endpoint,
             FaultKind.CROWD: self._flood_connections,
             FaultKind.CLIENT_CROWD: self._play_crowd,
@@ -367,8 +368,30 @@
         await asyncio.sleep(fault.duration_s)
         self.discovery.come_back()
 
+    async def _crowd_discovery(self, fault: Fault) -> None:
+        """Let the calls of a forwarder fail from an event on, and replace an endpoint meanwhile."""
+        start, end = fault.detail.split()
+        forwarder = self.forwarders[fault.target]
+        crowded = CrowdedCalls(fault.amount, CrowdedCallEnd(end))
+        self.discovery.crowded_calls[fault.target] = crowded
+        listed = [each for name, each in self.endpoints.items() if name in self.discovery.statuses]
+        self._start_task(self._replace(self.rng.choice(listed)))
+        match CrowdStart(start):
+            case CrowdStart.RELOAD:
+                forwarder.reload()
+            case CrowdStart.RESTART:
+                await self._kill(fault)
+            case CrowdStart.SERVICE:
+                self.discovery.reset_watches(fault.target)
+        end_s = self._load_started_s + fault.start_s + fault.duration_s
+        await asyncio.sleep(max(0.0, end_s - time.monotonic()))
+        if self.discovery.crowded_calls.get(fault.target) is crowded:
+            del self.discovery.crowded_calls[fault.target]
+
     async def _replace_endpoint(self, fault: Fault) -> None:
-        leaving = self.endpoints[fault.target]
+        await self._replace(self.endpoints[fault.target])
+
+    async def _replace(self, leaving: StandInEndpoint) -> None:
         if leaving.name not in self.discovery.statuses:
             return
         await self._add_endpoint(leaving.destination, list(self.forwarders))
--- a/honeybarrow/soak/settings.py
+++ b/honeybarrow/soak/settings.py
@@ -38,8 +38,11 @@
 CLASS_BY_NAME = {message_class.name: message_class for message_class in CLASSES}
 
 
-def make_forwarder_settings(forwarders: int) -> dict[str, Any]:
-    """Return the ``settings`` object of the configuration file for a fleet of ``forwarders``."""
+def make_forwarder_settings(forwarders: int, is_pushed: bool = False) -> dict[str, Any]:
+    """Return the ``settings`` object of the configuration file for a fleet of ``forwarders``.
+
+    ``is_pushed`` tells that endpoint lists are pushed rather than asked for.
+    """
     services = [
         {
             "name": each.name,
@@ -63,7 +66,7 @@
             "sendCap": MAX_ATTEMPTS,
         },
         "balancers": forwarders,
-        "membershipMode": "on_request",
+        "membershipMode": "pushed" if is_pushed else "on_request",
         "weightSource": "nominal",
         "guarantees": {
             "drainGraceUs": int(DRAIN_GRACE_S * 1e6),
