--- a/honeybarrow/node/list_validity.py
+++ b/honeybarrow/node/list_validity.py
@@ -36,9 +36,9 @@
 | the same status sooner than a gateway could have given up | discovery rejects calls: it is overloaded |
 | no answer in time | nothing is known; after a start with pushed lists: a silent agent is down |
 
-Once the list is outdated, only an item or a heartbeat makes it valid again. The tables hold for all messages. A
-message that must take effect once loses more by a wrong endpoint than by waiting, but an endpoint of another
-destination is the worse end for any message.
+Once the list is outdated, only an item or a heartbeat makes it valid again. The tables hold for all
+messages. A message that must take effect once loses more by a wrong endpoint than by waiting, but an
+endpoint of another destination is the worse end for any message.
 """
 
 from __future__ import annotations
