A session whose message awaits its result is not closed for slowness

Clients of keyed messages got 421 instead of a result.

Cause: a transaction has two clocks, the client's (sending) and the forwarder's (delivering), and find_slow_sessions counted from MAIL to the last reply. close_with_reply did not ask whether a message awaited its result.

Change: admission control's clock is that of sending and ends with the content. ServerSession.refuse, through which each closing reply goes, keeps the reply until the replies to a pending message are written, whoever closes. A session that waits no longer counts as the oldest that may read while memory is short; it reads no content.

Checked and left: SIGTERM (an open transaction completes, drain_timeout answers 554), the idle timer (off while a result is awaited), TLS errors and losses of the connection (no reply is written).

Content at a byte a second still gets 421 4.4.2, in the same live test.

--- a/honeybarrow/admission/admission_control.py
+++ b/honeybarrow/admission/admission_control.py
@@ -15,8 +15,9 @@
 
 RESERVATION_TIMEOUT_US = 10 * SECOND_US  # lifetime of a reservation made at RCPT
 COMPLETION_WINDOW_US = 5 * SECOND_US  # window over which the rate of completed messages is measured
-# A transaction may last the grace period plus the time that the bytes read so far take at the minimum rate.
-TRANSACTION_GRACE_US = 15 * SECOND_US
+# A client may take the grace period, plus the time that its bytes so far take at the minimum rate, to send a
+# message. The time until its result is limited by the message's deadline.
+SENDING_GRACE_US = 15 * SECOND_US
 MIN_TRANSFER_BYTES_PER_S = 512
 
 
@@ -60,7 +61,7 @@
     client: str
     reservations: list[int] = field(default_factory=list)  # time of each reservation
     buffered_bytes: int = 0
-    transaction_started_us: int = -1  # negative if no transaction is open
+    sending_started_us: int | None = None  # start of the transaction, until its content is complete
     transaction_bytes: int = 0  # bytes read in this transaction, including discarded ones
 
 
@@ -118,7 +119,7 @@
         self._release_transaction(state)
         if self.is_stopping:
             return CloseSession(0, "shutting down")
-        state.transaction_started_us, state.transaction_bytes = now, 0
+        state.sending_started_us, state.transaction_bytes = now, 0
         return ADMIT
 
     def reserve_recipient(self, now: int, session: int) -> AdmissionDecision:
@@ -149,13 +150,17 @@
             return True
         if share.used_by.get(state.client, 0) < share.compute_share(now, state.client):
             return share.used < self.config.max_buffered_bytes
+        if state.sending_started_us is None:
+            return True
         # The oldest transaction may always continue: otherwise partly read messages that fill the memory
         # would block each other forever.
-        oldest_us = min(
-            (s.transaction_started_us for s in self.sessions.values() if s.buffered_bytes),
-            default=state.transaction_started_us,
-        )
-        return state.transaction_started_us <= oldest_us
+        started_us = (s.sending_started_us for s in self.sessions.values() if s.buffered_bytes)
+        oldest_us = min((each for each in started_us if each is not None), default=state.sending_started_us)
+        return state.sending_started_us <= oldest_us
+
+    def complete_content(self, session: int) -> None:
+        """Record that the client has sent its message; from now on it waits for the result."""
+        self.sessions[session].sending_started_us = None
 
     def admit_message(self, now: int, session: int, message: str, tenant: str) -> AdmissionDecision:
         """Admit a message at the end of data, once for each recipient, or defer it.
@@ -195,13 +200,11 @@
         self._completions += 1.0
 
     def find_slow_sessions(self, now: int) -> list[int]:
-        """Return the sessions whose transaction has lasted longer than the bytes read so far allow."""
+        """Return the sessions that have been sending a message for longer than its bytes so far allow."""
         slow_sessions = []
         for session, state in self.sessions.items():
-            allowed_us = (
-                TRANSACTION_GRACE_US + state.transaction_bytes * SECOND_US // MIN_TRANSFER_BYTES_PER_S
-            )
-            if state.transaction_started_us >= 0 and now - state.transaction_started_us > allowed_us:
+            allowed_us = SENDING_GRACE_US + state.transaction_bytes * SECOND_US // MIN_TRANSFER_BYTES_PER_S
+            if state.sending_started_us is not None and now - state.sending_started_us > allowed_us:
                 slow_sessions.append(session)
         return slow_sessions
 
@@ -212,7 +215,7 @@
         if state.buffered_bytes:
             self.buffer_share.release(state.client, state.buffered_bytes)
             state.buffered_bytes = 0
-        state.transaction_started_us = -1
+        state.sending_started_us = None
 
     def _expire_reservations(self, now: int, state: _Session) -> None:
         # RCPT costs a client nothing, so unused reservations would otherwise exhaust the capacity.
--- a/honeybarrow/mail/server.py
+++ b/honeybarrow/mail/server.py
@@ -93,6 +93,11 @@
         """Whether a transaction is open: its sender was accepted and its message has no final reply."""
         return self._transaction is not None
 
+    @property
+    def awaits_result(self) -> bool:
+        """Whether a complete message has not all its final replies."""
+        return isinstance(self._pending_event, Message)
+
     def next_event(self) -> Event | None:
         """Return the next event, or ``None`` if more bytes or a reply are needed."""
         while self.state is not State.AWAITING_REPLY:
@@ -337,10 +342,16 @@
             self._error_count += not replies[0].is_positive
             self.state = State.READY
         else:
-            self._reset()
+            self._end_message()
         if replies[-1].code == 421:
             self.state = State.CLOSED
 
+    def _end_message(self) -> None:
+        """End the transaction of a message that has its replies, and the session if that was due."""
+        self._reset()
+        if self._closing_reply is not None:
+            self.refuse(self._closing_reply)
+
     def _await_reply(self, event: Sender | Recipient | Message | Credentials) -> Event:
         self._pending_event, self.state = event, State.AWAITING_REPLY
         self._replies_due = len(event.recipients) if self.lmtp and isinstance(event, Message) else 1
--- a/honeybarrow/mail/server_buffers.py
+++ b/honeybarrow/mail/server_buffers.py
@@ -16,20 +16,33 @@
         self._in = bytearray()
         self._out = bytearray()
         self._error_count = 0
+        self._closing_reply: Reply | None = None  # written once the replies to a message are
 
     def greet(self) -> None:
         """Write the greeting (220)."""
         kind = "LMTP" if self.lmtp else "ESMTP"
         self._out += Reply(220, "", f"{self.name} {kind} ready").encode()
 
+    @property
+    def awaits_result(self) -> bool:
+        """Whether a complete message has not all its final replies."""
+        return False
+
     def refuse(self, reply: Reply) -> None:
-        """Write a final reply, instead of the greeting or between commands, and close the session."""
+        """Write a final reply, instead of the greeting or between commands, and close the session.
+
+        While a message awaits its result, the session closes after it: the client would take a 4xx reply for
+        the statement that the message has not run.
+        """
+        if self.awaits_result:
+            self._closing_reply = reply
+            return
         self._out += reply.encode(advice=True)
         self.state = State.CLOSED
 
     def receive(self, data: bytes) -> None:
         """Buffer bytes from the peer; close the session if more than ``max_buffered_bytes`` are unparsed."""
-        if self.state is State.CLOSED:
+        if self.state is State.CLOSED or self._closing_reply is not None:
             return
         self._in += data
         if len(self._in) > self.limits.max_buffered_bytes:
--- a/honeybarrow/mail_front/protocol.py
+++ b/honeybarrow/mail_front/protocol.py
@@ -124,7 +124,7 @@
             self.close_with_reply(reply_for_rejection(CloseSession(0, "shutting down")))
 
     def close_with_reply(self, reply: Reply) -> None:
-        """Close the session with a final reply."""
+        """Close the session with a final reply, after the replies to a message that awaits its result."""
         if self.session.state is not mail.State.CLOSED:
             self.session.refuse(reply)
             self._process_events()
@@ -241,6 +241,7 @@
             self.session.answer(*[TOO_MANY_HOPS] * len(self.routes))
             self._end_transaction()
             return
+        self.registry.admission.complete_content(self.connection_id)
         elapsed_us = self.registry.now_us() - self.transaction_start_us
         message_id = self.registry.new_id()
         content = self._add_trace(event, message_id)
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -154,6 +154,30 @@
     assert codes == [250, 250, 250, 250, 250, 452]
 
 
+@pytest.mark.parametrize("is_flooded", [False, True])
+def test_a_session_closes_after_the_replies_to_a_message_that_awaits_its_result(is_flooded: bool) -> None:
+    """Guards against a 421 in place of the result of a message whose call is out."""
+    session = ServerSession("front.example", lmtp=True, limits=LIMITS)
+    for part in (b"LHLO c\r\n", b"MAIL FROM:<>\r\nRCPT TO:<a@b.c>\r\nRCPT TO:<d@e.f>\r\nDATA\r\n"):
+        session.receive(part)
+        while (event := session.next_event()) is not None:
+            if isinstance(event, mail.Sender | mail.Recipient):
+                session.answer(OK)
+    session.receive(b"\r\nhello\r\n.\r\n")
+    assert isinstance(session.next_event(), mail.Message)
+    session.answer(Reply(250, "", "delivered"))
+    session.take_output()
+    if is_flooded:
+        session.receive(b"x" * (LIMITS.max_buffered_bytes + 1))
+    else:
+        session.refuse(Reply(421, "4.4.2", "closing"))
+    assert session.take_output() == b"" and session.is_waiting
+    session.receive(b"NOOP\r\n")
+    session.answer(Reply(250, "", "delivered too"))
+    codes = [line[:3] for line in session.take_output().splitlines()]
+    assert codes == [b"250", b"421"] and session.state is State.CLOSED
+
+
 def test_lmtp_sends_a_reply_for_each_recipient_in_order() -> None:
     server = AcceptingServer(lmtp=True)
     assert server.feed(b"EHLO c\r\n") == [500]
--- a/tests/test_mail_front.py
+++ b/tests/test_mail_front.py
@@ -20,6 +20,7 @@
 from cryptography.x509.oid import NameOID
 from twisted.internet.threads import deferToThreadPool
 
+from honeybarrow.admission import admission_control
 from honeybarrow.admission.identity import (
     ClientConfig,
     ClientIdentifier,
@@ -27,6 +28,7 @@
     hash_password,
     parse_accounts,
 )
+from honeybarrow.mail_front import connection_registry
 from honeybarrow.tls import TlsError, build_server_context
 from tests.live import (
     BlockingConnection,
@@ -258,6 +260,34 @@
         assert len(runs) == 1
 
 
+@pytest.mark.parametrize("protocol", ["smtp", "lmtp"])
+def test_a_message_whose_call_is_out_is_answered_with_its_result_however_long_it_takes(
+    monkeypatch: pytest.MonkeyPatch, protocol: str
+) -> None:
+    """Guards against review case 6: the front answered 421 for slowness while the call was out."""
+    monkeypatch.setattr(admission_control, "SENDING_GRACE_US", 300_000)
+    monkeypatch.setattr(connection_registry, "SWEEP_INTERVAL_S", 0.1)
+    may_reply, received = threading.Event(), list[str]()
+    with forwarder() as live:
+        live.list_partner("p.example", ScriptedPartner(reply_when_set(may_reply, received)).port)
+        live.list_partner("q.example", ScriptedPartner(accept_all_messages).port)
+        client = live.client(protocol)
+        recipients = ["pay@q.example", "pay@p.example"] if protocol == "lmtp" else ["pay@p.example"]
+        client.write_lines(
+            "MAIL FROM:<a@c.example>", *(f"RCPT TO:<{recipient}>" for recipient in recipients), "DATA"
+        )
+        assert [client.read_reply()[:3] for _ in range(2 + len(recipients))][-1] == "354"
+        client.write_lines("", "hello", ".")
+        wait_until(lambda: len(received) == 1)
+        time.sleep(0.6)
+        slow = live.client()
+        slow.write_lines("MAIL FROM:<a@c.example>", "RCPT TO:<pay@q.example>", "DATA")
+        assert [slow.read_reply()[:3] for _ in range(3)] == ["250", "250", "354"]
+        assert slow.read_reply().startswith("421 4.4.2")
+        may_reply.set()
+        assert [client.read_reply()[:3] for _ in recipients] == ["250"] * len(recipients)
+
+
 def test_disconnect_at_any_byte_releases_all_resources() -> None:
     with forwarder() as live:
         live.list_partner("p.example", ScriptedPartner(accept_all_messages).port)
