The client library reads a 421 to the message as a lost result, as calls do

Seen: the client library reported Refused ("safe to submit again") for a 421 without a wait after the end of data, while the calls to partners count the same reply as an attempt that may have run (RFC 5321 3.8).

Cause: two readers of one protocol, client.result_from_reply and delivery.mail_outcome.classify_reply.

Change: mail.is_closing_notice decides for both. The library reports Failed(is_result_lost=True), for each recipient that is left over LMTP; a 421 with a wait stays a refusal, and so does one before the end of data.

Tests: two of the three new ones fail on (SMTP, LMTP), all pass now.

--- a/honeybarrow/client.py
+++ b/honeybarrow/client.py
@@ -65,13 +65,16 @@
 FinalResult = Delivered | Refused | Failed
 
 
-def result_from_reply(reply: mail.Reply, is_final: bool = True) -> FinalResult:
+def result_from_reply(reply: mail.Reply, phase: mail.Phase = mail.Phase.FINAL) -> FinalResult:
     """Return the result that a reply of the service stands for (``docs/mail.md``).
 
-    ``is_final`` is whether the reply answers the end of the message data.
+    ``phase`` is what the reply answers: the end of the message data or a command before it.
     """
+    is_final = phase is mail.Phase.FINAL
     if 200 <= reply.code < 300 and is_final:
         return Delivered()
+    if mail.is_closing_notice(reply, phase):
+        return Failed(reply.text, is_result_lost=True)
     if 400 <= reply.code < 500:
         return Refused(reply.wait_ms / 1000, reply.text)
     return Failed(
@@ -133,7 +136,7 @@
                 case mail.ResetDone():
                     self.client.on_connection_idle(self)
                 case mail.SessionRefused(reply):
-                    self._end_transaction(result_from_reply(reply, is_final=False))
+                    self._end_transaction(result_from_reply(reply, mail.Phase.GREETING))
                 case mail.ServerClosing() | mail.ProtocolViolation():
                     self.transport.abortConnection()
         self.flush()
@@ -143,7 +146,7 @@
         transaction = self.transaction
         if transaction is None:
             return
-        transaction.complete(index, result_from_reply(reply, phase is mail.Phase.FINAL))
+        transaction.complete(index, result_from_reply(reply, phase))
         if is_last:
             self._end_transaction(Failed("no reply for this recipient"))
             if self.session.phase is mail.Phase.IDLE:
--- a/honeybarrow/delivery/mail_outcome.py
+++ b/honeybarrow/delivery/mail_outcome.py
@@ -4,7 +4,7 @@
 
 from honeybarrow.delivery.outcome import AttemptOutcome
 from honeybarrow.events import AttemptStatus
-from honeybarrow.mail import Phase, Reply
+from honeybarrow.mail import Phase, Reply, is_closing_notice
 
 
 def classify_reply(reply: Reply, phase: Phase) -> AttemptOutcome:
@@ -13,9 +13,7 @@
     wait_us, load = reply.wait_ms * 1000, reply.load
     if is_final and 200 <= reply.code < 300:
         return AttemptOutcome(AttemptStatus.OK, load_report=load, reply=reply)
-    if is_final and reply.code == 421 and not wait_us:
-        # A server that shuts down sends 421 whether or not it has executed the message (RFC 5321 3.8). Only
-        # a 421 with a retry delay is a refusal.
+    if is_closing_notice(reply, phase):
         return AttemptOutcome(
             AttemptStatus.RESET, load_report=load, reply=reply, reason="closing after end of data"
         )
--- a/honeybarrow/mail/__init__.py
+++ b/honeybarrow/mail/__init__.py
@@ -13,6 +13,7 @@
     ResetDone,
     ServerClosing,
     SessionRefused,
+    is_closing_notice,
 )
 from honeybarrow.mail.grammar import (
     InvalidReplyError,
@@ -66,6 +67,7 @@
     "State",
     "add_trace",
     "count_hops",
+    "is_closing_notice",
     "read_address",
     "read_header",
     "sanitize",
--- a/honeybarrow/mail/client.py
+++ b/honeybarrow/mail/client.py
@@ -82,6 +82,15 @@
 MAX_LINE_BYTES = 2048  # above the 512 bytes of RFC 5321 4.5.3.1.5, which some servers exceed
 
 
+def is_closing_notice(reply: Reply, phase: Phase) -> bool:
+    """Return whether a reply to the end of data only says that the server closes the connection.
+
+    A server that shuts down sends 421 whether or not it has executed the message (RFC 5321 3.8). Only a 421
+    with a retry delay is a refusal.
+    """
+    return phase is Phase.FINAL and reply.code == 421 and not reply.wait_ms
+
+
 class ClientSession:
     """The client side of one session.
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -15,7 +15,7 @@
 import pytest
 
 from honeybarrow import mail
-from honeybarrow.client import Client, ClientLimits, Delivered, Failed, Refused
+from honeybarrow.client import Client, ClientLimits, Delivered, Failed, Refused, result_from_reply
 from tests.live import (
     BlockingConnection,
     ScriptedPartner,
@@ -114,6 +114,36 @@
         assert resubmitted == [Delivered()] and len(received) == 1
 
 
+@pytest.mark.parametrize("lmtp", [False, True])
+def test_a_closing_reply_to_the_message_is_a_lost_result(lmtp: bool) -> None:
+    """Guards against a client that hands a message in elsewhere after a 421 that says nothing about it."""
+
+    def close(connection: BlockingConnection) -> None:
+        connection.write_lines("220 front")
+        connection.read_line()
+        connection.write_lines("250-front", "250 XADVICE")
+        connection.read_line()
+        connection.write_lines("250 ok")
+        for _ in range(1 + lmtp):
+            connection.read_line()
+            connection.write_lines("250 ok")
+        connection.read_line()
+        connection.write_lines("354 go")
+        connection.read_content()
+        connection.write_lines("421 4.4.2 closing")
+
+    submitter = Client(reactor, "127.0.0.1", ScriptedPartner(close).port, lmtp)
+    recipients = ["pay@p.example", "pay@q.example"][: 1 + lmtp]
+    results = call_in_reactor(submitter.submit_batch, "", recipients, CONTENT)
+    assert results == [Failed("closing", is_result_lost=True)] * len(recipients)
+
+
+def test_a_closing_reply_with_a_wait_is_a_refusal() -> None:
+    reply = mail.Reply(421, "4.3.2", "full", wait_ms=500)
+    assert result_from_reply(reply) == Refused(0.5, "full")
+    assert result_from_reply(mail.Reply(421, "4.3.2", "full"), mail.Phase.MAIL) == Refused(0.0, "full")
+
+
 def test_invalid_address_raises_value_error() -> None:
     with pytest.raises(ValueError, match="is not an address of the form local@domain"):
         client(1).submit("", "no address\r\nRCPT TO:<x@y>", CONTENT)
