The window of a key begins once, and a refusal of a repeat is none if the message may have run

Cause: DuplicateDetector.record_accepted replaced the record of the earlier submission, with the start of its window and its state; the policy got the repeat as if nothing had been sent before; the two refusals did not ask at all.

Change: the record keeps when the window began, at the first attempt of any submission that may have run; a submission that did not run leaves an ambiguous message ambiguous. A repeat inside the window is submitted with that age, so the policy and the guard stop at its end and compute `within=` from it. Refusals of a repeat that may have run are 554 with `within=`. After the window the answer is 554.

Replaced test: test_message_with_key_is_new_after_its_window expected that a message that may have run is sent again after the window. "A keyed message that may have run is sent again only within the time its destination remembers the key"; test_message_with_key_fails_after_its_window holds that, and the rest of the old test.

--- a/honeybarrow/admission/duplicate_detection.py
+++ b/honeybarrow/admission/duplicate_detection.py
@@ -16,8 +16,9 @@
 | failed, ambiguous | accept as new | accept as new (see below) | failed |
 
 With a key, a message that is accepted within the key's window must finish before the window ends; after the
-window it is an independent message. The number and age of remembered submissions are bounded; a forgotten
-message is treated as new.
+window it may not be sent again, so it failed. The window begins with the first attempt of any submission that
+may have run. A submission that did not run itself is ambiguous if an earlier one was. The number and age of
+remembered submissions are bounded; a forgotten message is treated as new.
 """
 
 from __future__ import annotations
@@ -113,7 +114,21 @@
     submitted_us: int
     state: SubmissionState = SubmissionState.OPEN
     changed_us: int = 0
-    window_ends_us: int | None = None  # end of the key's window, if the policy reported it
+    # Start of the key's window; None while no attempt, also of earlier submissions, may have run.
+    ambiguous_since_us: int | None = None
+
+    def apply(self, state: SubmissionState, now: int, retry_within_us: int | None) -> None:
+        """Change the state; an ambiguous one keeps the earliest beginning of the window."""
+        if state is SubmissionState.AMBIGUOUS:
+            # Without a report the window starts no earlier than the submission.
+            since_us = (
+                self.submitted_us if retry_within_us is None else now + retry_within_us - self.window_us
+            )
+            if self.ambiguous_since_us is None or since_us < self.ambiguous_since_us:
+                self.ambiguous_since_us = since_us
+        elif state is SubmissionState.NOT_RUN and self.ambiguous_since_us is not None:
+            state = SubmissionState.AMBIGUOUS
+        self.state, self.changed_us = state, now
 
 
 class DuplicateDetector:
@@ -155,21 +170,23 @@
     def _decide_ambiguous(self, now: int, first: _FirstSubmission) -> DuplicateDecision:
         if first.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
             return RepeatResult(False)
-        # The window starts no earlier than the first submission. After it ends the partner no longer
-        # recognizes the key, so the message is independent of the first one.
-        ends_us = first.window_ends_us
-        if ends_us is None:
-            ends_us = first.submitted_us + first.window_us
-        return AcceptAsNew(ends_us - now) if now < ends_us else AcceptAsNew()
+        assert first.ambiguous_since_us is not None
+        left_us = first.ambiguous_since_us + first.window_us - now
+        # After the window the partner no longer recognizes the key.
+        return AcceptAsNew(left_us) if left_us > 0 else RepeatResult(False)
 
     def record_accepted(
         self, now: int, key: str, message: str, idempotency: Idempotency, window_us: int
     ) -> None:
         """Record that ``message`` was accepted as new under ``key``."""
         previous = self._by_key.pop(key, None)
+        since_us = None
         if previous is not None:
             self._key_by_message.pop(previous.message, None)
-        self._by_key[key] = _FirstSubmission(message, idempotency, window_us, now, changed_us=now)
+            since_us = previous.ambiguous_since_us
+        self._by_key[key] = _FirstSubmission(
+            message, idempotency, window_us, now, changed_us=now, ambiguous_since_us=since_us
+        )
         self._key_by_message[message] = key
 
     def record_event(
@@ -186,10 +203,20 @@
         state = TRANSITIONS.get((first.state, event))
         if state is None:
             return
-        first.state, first.changed_us = state, now
-        first.window_ends_us = None if retry_within_us is None else now + retry_within_us
+        first.apply(state, now, retry_within_us)
         self._by_key.move_to_end(key)
 
+    def remaining_window_us(self, now: int, message: str) -> int | None:
+        """Return how long a message may still be repeated, or ``None`` if no attempt of it may have run.
+
+        This counts the attempts of all submissions that were recorded under its key; 0 means never again.
+        """
+        key = self._key_by_message.get(message)
+        first = None if key is None else self._by_key[key]
+        if first is None or first.ambiguous_since_us is None or first.idempotency is Idempotency.IDEMPOTENT:
+            return None
+        return max(0, first.ambiguous_since_us + first.window_us - now)
+
     def _evict_expired(self, now: int) -> None:
         # Entries are ordered by their last change. Checking a bounded number of them for each submission
         # keeps its cost constant.
--- a/honeybarrow/delivery/__init__.py
+++ b/honeybarrow/delivery/__init__.py
@@ -10,7 +10,14 @@
 from honeybarrow.delivery.connector import Connector
 from honeybarrow.delivery.forwarder import Forwarder, ignore_cancelled
 from honeybarrow.delivery.outcome import AttemptOutcome, classify_connection_loss, classify_timeout
-from honeybarrow.delivery.results import Delivered, DeliveryResult, Failed, NotRecorded, Refused
+from honeybarrow.delivery.results import (
+    Delivered,
+    DeliveryResult,
+    Failed,
+    NoTimeLeft,
+    NotRecorded,
+    Refused,
+)
 from honeybarrow.delivery.submission import DeliveryCounters, Submission
 
 if TYPE_CHECKING:
@@ -36,6 +43,7 @@
     "Forwarder",
     "MailConnectionPool",
     "MailPayload",
+    "NoTimeLeft",
     "NotRecorded",
     "PoolLimits",
     "Refused",
--- a/honeybarrow/delivery/results.py
+++ b/honeybarrow/delivery/results.py
@@ -35,6 +35,11 @@
     """The final result of a message that was not accepted because the message log can't be written."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoTimeLeft(Refused):
+    """The final result of a message whose time was over when it arrived."""
+
+
 @dataclass(frozen=True, slots=True)
 class Failed:
     """The final result of a message that failed. Unless ``reply`` is set, it may have taken effect.
--- a/honeybarrow/mail_front/protocol.py
+++ b/honeybarrow/mail_front/protocol.py
@@ -23,7 +23,6 @@
     AUTH_REQUIRED,
     AUTHENTICATED,
     IDLE_TIMEOUT,
-    NO_TIME_LEFT,
     RECIPIENT_OK,
     SENDER_OK,
     SINGLE_RECIPIENT_ONLY,
@@ -253,16 +252,12 @@
             if isinstance(entry, Reply):
                 batch.replies[index] = entry
                 continue
-            left_us = next(times_left_us)
-            if left_us <= 0:
-                batch.replies[index] = NO_TIME_LEFT
-                continue
             route, properties = entry.route, entry.properties
             submission = Submission(
                 f"{message_id}.{index}" if len(routed) > 1 else message_id,
                 route.class_name,
                 route.destination,
-                left_us,
+                next(times_left_us),
                 MailPayload(event.sender, route.path, content),
                 properties.tenant,
                 properties.order_key,
--- a/honeybarrow/mail_front/replies.py
+++ b/honeybarrow/mail_front/replies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from honeybarrow.admission.admission_control import CloseSession, Defer
-from honeybarrow.delivery import Delivered, DeliveryResult, Failed, Refused
+from honeybarrow.delivery import Delivered, DeliveryResult, Failed, NoTimeLeft, Refused
 from honeybarrow.mail import Reply
 
 ADDRESS_NOT_ALLOWED = Reply(554, "5.7.1", "not from this address")
@@ -24,6 +24,8 @@
     match result:
         case Delivered():
             return Reply(250, "2.0.0", "delivered")
+        case NoTimeLeft():
+            return NO_TIME_LEFT
         case Refused(wait_us, reason):
             return Reply(
                 451, "4.3.2", f"refused, harmless to try again ({reason})", wait_ms=-(-wait_us // 1000)
--- a/honeybarrow/mail_front/submission.py
+++ b/honeybarrow/mail_front/submission.py
@@ -26,6 +26,7 @@
     DeliveryResult,
     Failed,
     Forwarder,
+    NoTimeLeft,
     Refused,
     Submission,
     ignore_cancelled,
@@ -98,11 +99,8 @@
         decision = self.duplicates.check_submission(now, duplicate_key) if duplicate_key else AcceptAsNew()
         match decision:
             case AcceptAsNew(max_time_left_us):
-                left_us = waiter.deadline_us - now
-                left_us = left_us if max_time_left_us is None else min(left_us, max_time_left_us)
-                self._admit_new_message(
-                    connection_id, duplicate_key, replace(submission, time_left_us=left_us), waiter
-                )
+                submission = self._limit_time_left(submission, waiter.deadline_us - now, max_time_left_us)
+                self._admit_new_message(connection_id, duplicate_key, submission, waiter)
             case JoinMessage(message):
                 self.log.info("duplicate_joined", message=submission.message, first=message)
                 waiter.message = message
@@ -122,11 +120,34 @@
                 self.log.info("duplicate_answered", message=submission.message, delivered=is_delivered)
                 waiter.result.callback(Delivered() if is_delivered else Failed("handed in before, in doubt"))
 
+    def _limit_time_left(
+        self, submission: Submission, left_us: int, max_time_left_us: int | None
+    ) -> Submission:
+        """Return the submission with its time left, and its history if an earlier one may have run."""
+        if max_time_left_us is None:
+            return replace(submission, time_left_us=left_us)
+        age_us = self.classes[submission.class_name].key_window_us - max_time_left_us
+        return replace(
+            submission, time_left_us=min(left_us, max_time_left_us), ambiguous_age_us=max(0, age_us)
+        )
+
+    def _refuse(self, submission: Submission, refused: Refused, waiter: _ResultWaiter) -> None:
+        """Refuse a message that was not admitted, unless an earlier submission of it may have run."""
+        age_us = submission.ambiguous_age_us
+        if age_us is None:
+            waiter.result.callback(refused)
+            return
+        within_us = self.classes[submission.class_name].key_window_us - age_us
+        waiter.result.callback(Failed(refused.reason, None, within_us, refused.retry_after_us))
+
     def _admit_new_message(
         self, connection_id: int, duplicate_key: str, submission: Submission, waiter: _ResultWaiter
     ) -> None:
         """Submit a message to the forwarder if admission control admits it, else refuse it."""
         now, message = self.now_us(), submission.message
+        if submission.time_left_us <= 0:
+            self._refuse(submission, NoTimeLeft(0, "no time left"), waiter)
+            return
         decision = self.admission.admit_message(now, connection_id, message, submission.tenant)
         if not isinstance(decision, Admit):
             self.forwarder.counters.rejected += 1
@@ -137,7 +158,7 @@
                 reason=decision.reason,
                 retry_after_us=decision.retry_after_us,
             )
-            waiter.result.callback(Refused(decision.retry_after_us, decision.reason))
+            self._refuse(submission, Refused(decision.retry_after_us, decision.reason), waiter)
             return
         if duplicate_key:
             message_class = self.classes[submission.class_name]
@@ -176,8 +197,11 @@
         match result:
             case Delivered():
                 self.duplicates.record_event(now, message, SubmissionEvent.DELIVERED)
-            case Refused():
+            case Refused(retry_after_us, reason):
                 self.duplicates.record_event(now, message, SubmissionEvent.REFUSED)
+                within_us = self.duplicates.remaining_window_us(now, message)
+                if within_us is not None:  # an earlier submission may have run
+                    result = Failed(reason, None, within_us, retry_after_us)
             case Failed(_, None, within_us):
                 self.duplicates.record_event(now, message, SubmissionEvent.FAILED, within_us)
             case Failed():
--- a/tests/test_duplicate_detection.py
+++ b/tests/test_duplicate_detection.py
@@ -81,19 +81,47 @@
         assert detector.check_submission(SECOND_US, "another") == AcceptAsNew()
 
 
-def test_message_with_key_is_new_after_its_window() -> None:
+def test_message_with_key_fails_after_its_window() -> None:
+    """Guards against review case 8: a message that may have run was sent again after the key's window."""
     detector = DuplicateDetector()
     detector.record_accepted(0, "k", "m", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
     detector.record_event(SECOND_US, "m", SubmissionEvent.FAILED, retry_within_us=2 * SECOND_US)
     assert detector.check_submission(2 * SECOND_US, "k") == AcceptAsNew(SECOND_US)
-    assert detector.check_submission(3 * SECOND_US, "k") == AcceptAsNew()
-    detector.record_accepted(3 * SECOND_US, "k", "m2", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
+    assert detector.check_submission(3 * SECOND_US, "k") == RepeatResult(False)
+    detector.record_accepted(2 * SECOND_US, "k", "m2", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
     assert detector.check_submission(3 * SECOND_US, "k") == JoinMessage("m2")
     # A late event of the first message does not affect the second one.
     detector.record_event(4 * SECOND_US, "m", SubmissionEvent.DELIVERED)
     assert detector.check_submission(4 * SECOND_US, "k") == JoinMessage("m2")
 
 
+@pytest.mark.parametrize(
+    "event", [SubmissionEvent.REFUSED, SubmissionEvent.WITHDRAWN, SubmissionEvent.REJECTED]
+)
+def test_a_repeat_that_did_not_run_leaves_the_window_of_the_first_submission(event: SubmissionEvent) -> None:
+    """Guards against review case 9: a refused repeat made its message count as never sent."""
+    detector = DuplicateDetector()
+    detector.record_accepted(0, "k", "m", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
+    detector.record_event(SECOND_US, "m", SubmissionEvent.WITHDRAWN_AMBIGUOUS)
+    detector.record_accepted(2 * SECOND_US, "k", "m2", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
+    detector.record_event(3 * SECOND_US, "m2", event)
+    assert detector.remaining_window_us(3 * SECOND_US, "m2") == 2 * SECOND_US
+    assert detector.check_submission(4 * SECOND_US, "k") == AcceptAsNew(SECOND_US)
+    assert detector.check_submission(WINDOW_US, "k") == RepeatResult(False)
+    assert detector.remaining_window_us(WINDOW_US, "m2") == 0
+
+
+def test_an_ambiguous_repeat_does_not_move_the_window() -> None:
+    """Guards against review case 9: the window counted from the call of the repeat."""
+    detector = DuplicateDetector()
+    detector.record_accepted(0, "k", "m", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
+    detector.record_event(SECOND_US, "m", SubmissionEvent.WITHDRAWN_AMBIGUOUS)
+    detector.record_accepted(2 * SECOND_US, "k", "m2", Idempotency.IDEMPOTENT_WITH_KEY, WINDOW_US)
+    detector.record_event(3 * SECOND_US, "m2", SubmissionEvent.FAILED, retry_within_us=4 * SECOND_US)
+    assert detector.check_submission(4 * SECOND_US, "k") == AcceptAsNew(SECOND_US)
+    assert detector.check_submission(WINDOW_US, "k") == RepeatResult(False)
+
+
 def test_remembered_messages_are_bounded_in_number_and_age() -> None:
     detector = DuplicateDetector(max_entries=100, max_age_us=10 * SECOND_US)
     for number in range(1000):
--- a/tests/test_mail_front.py
+++ b/tests/test_mail_front.py
@@ -288,6 +288,42 @@
         assert [client.read_reply()[:3] for _ in recipients] == ["250"] * len(recipients)
 
 
+@pytest.mark.parametrize("by", ["", " BY=1;R"])
+def test_a_repeat_that_is_not_admitted_is_no_refusal_if_the_message_may_have_run(
+    monkeypatch: pytest.MonkeyPatch, by: str
+) -> None:
+    """Guards against 451 "harmless to try again" for a repeat of a message that may have run."""
+    runs: list[str] = []
+
+    def lost(connection: BlockingConnection) -> None:
+        connection.greet()
+        connection.accept_envelope()
+        runs.append(connection.read_content())
+        connection.reset()
+
+    with forwarder() as live:
+        live.list_partner("p.example", ScriptedPartner(lost).port)
+        first = live.client()
+        live.submit(first, "post@p.example", MESSAGE_ID_HEADER)
+        wait_until(lambda: len(runs) == 1)
+        first.sock.close()
+        wait_until(lambda: live.service.forwarder.open_count == 0)
+        second = live.client()
+        second.write_lines(f"MAIL FROM:<a@c.example>{by}", "RCPT TO:<post@p.example>", "DATA")
+        assert [second.read_reply()[:3] for _ in range(3)] == ["250", "250", "354"]
+        if by:
+            time.sleep(1.1)  # no time is left at the end of data
+        else:
+            no_room = admission_control.Defer(1_000_000, "no room")
+            monkeypatch.setattr(
+                admission_control.AdmissionController, "admit_message", lambda *arguments: no_room
+            )
+        second.write_lines(MESSAGE_ID_HEADER, "", "hello", ".")
+        reply = second.read_reply()
+        assert reply.startswith("554 5.4.0") and "[within=" in reply, reply
+        assert len(runs) == 1
+
+
 def test_disconnect_at_any_byte_releases_all_resources() -> None:
     with forwarder() as live:
         live.list_partner("p.example", ScriptedPartner(accept_all_messages).port)
