--- a/honeybarrow/soak/endpoints.py
+++ b/honeybarrow/soak/endpoints.py
@@ -122,6 +122,7 @@
     """Endpoint of a destination.
 
     :attr:`links` and :attr:`ports` hold the link condition and the port for each forwarder.
+    ``assigned_ports`` are the ports of all peers of the run, also while they do not listen.
     """
 
     def __init__(
@@ -132,7 +133,9 @@
         history: History,
         rng: random.Random,
         account: MessageAccount | None = None,
+        assigned_ports: set[int] | None = None,
     ) -> None:
+        self._assigned_ports = set() if assigned_ports is None else assigned_ports
         self.name, self.destination, self.host = name, destination, host
         self.history, self._rng = history, rng
         self.account = account or MessageAccount(history, 0, 0.0)
@@ -150,15 +153,30 @@
 
     async def listen(self, forwarder: str) -> None:
         """Open the listener for one forwarder; the port stays the same after a crash."""
+        if forwarder in self.ports:
+            self._servers[forwarder] = await self._open_listener(forwarder, self.ports[forwarder])
+            return
+        rejected: list[asyncio.Server] = []  # on ports that belong to endpoints that are down
+        while True:
+            server = await self._open_listener(forwarder, 0)
+            port = int(server.sockets[0].getsockname()[1])
+            if port not in self._assigned_ports:
+                break
+            rejected.append(server)
+        for each in rejected:
+            each.close()
+        self._assigned_ports.add(port)
+        self._servers[forwarder], self.ports[forwarder] = server, port
+
+    async def _open_listener(self, forwarder: str, port: int) -> asyncio.Server:
         condition = self.links.setdefault(forwarder, LinkCondition())
-        self._servers[forwarder] = server = await asyncio.get_running_loop().create_server(
+        return await asyncio.get_running_loop().create_server(
             lambda: _EndpointConnection(self, forwarder, condition),
             self.host,
-            self.ports.get(forwarder, 0),
+            port,
             backlog=BACKLOG,
             reuse_address=True,
         )
-        self.ports[forwarder] = server.sockets[0].getsockname()[1]
 
     @property
     def is_listening(self) -> bool:
--- a/honeybarrow/soak/run.py
+++ b/honeybarrow/soak/run.py
@@ -90,6 +90,7 @@
         self._crowds: list[CrowdProcess] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._endpoint_count = 0
+        self._assigned_ports: set[int] = set()  # of endpoints and forwarders, also while they are down
         self._max_lateness_s = 0.0
         self._load_started_s = 0.0
 
@@ -115,7 +116,9 @@
                 await self._add_endpoint(destination, names)
         for name in names:
             await self.discovery.listen(name)
-        for name, port in zip(names, free_ports(self.host, len(names)), strict=True):
+        forwarder_ports = free_ports(self.host, len(names))
+        self._assigned_ports.update(forwarder_ports)
+        for name, port in zip(names, forwarder_ports, strict=True):
             self._add_forwarder(name, port)
         for start in range(0, len(names), MAX_START_BATCH):
             batch = names[start : start + MAX_START_BATCH]
@@ -127,7 +130,9 @@
         """Start an endpoint and list it, or start it unlisted at the addresses of its predecessor."""
         self._endpoint_count += 1
         name = f"e{self._endpoint_count}"
-        endpoint = StandInEndpoint(name, destination, self.host, self.history, self.rng, self.account)
+        endpoint = StandInEndpoint(
+            name, destination, self.host, self.history, self.rng, self.account, self._assigned_ports
+        )
         if predecessor is not None:
             endpoint.predecessor, endpoint.ports = predecessor.name, dict(predecessor.ports)
         for forwarder in forwarders:
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -50,6 +50,24 @@
     asyncio.run(check())
 
 
+def test_the_ports_of_an_endpoint_that_is_down_are_not_assigned_again() -> None:
+    """Guards against calls that are recorded as those of another forwarder (soak seed 7328, rule drain)."""
+
+    async def scenario() -> None:
+        history, assigned = History(), set(range(1024, 65536, 2))
+        endpoints = [
+            StandInEndpoint(f"e{number}", 1, "127.0.0.1", history, random.Random(1), None, assigned)
+            for number in range(20)
+        ]
+        for endpoint in endpoints:
+            await endpoint.listen("f00")
+            endpoint.crash()
+        ports = [endpoint.ports["f00"] for endpoint in endpoints]
+        assert len(set(ports)) == len(ports) and all(port % 2 for port in ports)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("rate_per_s", [150.0])
 def test_requests_without_an_order_key_do_not_wait_for_each_other(rate_per_s: float) -> None:
     async def check() -> int:
