A mail message has the same names at its partner at each submission and forwarder

A batch to two recipients at one partner had one Message-ID, so one was dropped.

Cause: each hop made a name of its own. add_trace made the Message-ID from the id of the submission, MailPayload had no envelope id, and admission compared the ENVID without decoding its xtext (a+41 and aA are one).

Change: mail_front.message_identity gives the names: key here, ENVID and Message-ID at the partner, derived from client, ENVID, recipient and body; nothing of the server. A given Message-ID passes unchanged; an empty one is replaced. The ENVID is derived, not passed on, so that no other client's or recipient's message is dropped. A repeat that may have run under another Message-ID goes only to partners that offer XENVID. encode_xtext loses no character any more.

--- a/honeybarrow/admission/duplicate_detection.py
+++ b/honeybarrow/admission/duplicate_detection.py
@@ -77,9 +77,11 @@
     """Accept the message as new.
 
     ``max_time_left_us`` is the time until the window of the idempotency key ends, or ``None`` without one.
+    ``is_renamed`` is set if an earlier submission may have run, under another Message-ID.
     """
 
     max_time_left_us: int | None = None
+    is_renamed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,7 @@
     idempotency: Idempotency
     window_us: int
     submitted_us: int
+    message_id: str  # that the partner gets, added or given by the client
     state: SubmissionState = SubmissionState.OPEN
     changed_us: int = 0
     # Start of the key's window; None while no attempt, also of earlier submissions, may have run.
@@ -145,8 +148,8 @@
     def __len__(self) -> int:
         return len(self._by_key)
 
-    def check_submission(self, now: int, key: str) -> DuplicateDecision:
-        """Decide how to handle a submitted message.
+    def check_submission(self, now: int, key: str, message_id: str = "") -> DuplicateDecision:
+        """Decide how to handle a submitted message, which the partner would get with a Message-ID.
 
         Call :meth:`record_accepted` if the decision is :class:`AcceptAsNew` and the message is admitted.
         """
@@ -165,18 +168,20 @@
             case SubmissionState.NOT_RUN:
                 return AcceptAsNew()
             case SubmissionState.AMBIGUOUS:
-                return AcceptAsNew() if is_idempotent else self._decide_ambiguous(now, first)
+                return AcceptAsNew() if is_idempotent else self._decide_ambiguous(now, first, message_id)
 
-    def _decide_ambiguous(self, now: int, first: _FirstSubmission) -> DuplicateDecision:
+    def _decide_ambiguous(self, now: int, first: _FirstSubmission, message_id: str) -> DuplicateDecision:
         if first.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
             return RepeatResult(False)
         assert first.ambiguous_since_us is not None
         left_us = first.ambiguous_since_us + first.window_us - now
         # After the window the partner no longer recognizes the key.
-        return AcceptAsNew(left_us) if left_us > 0 else RepeatResult(False)
+        if left_us <= 0:
+            return RepeatResult(False)
+        return AcceptAsNew(left_us, is_renamed=message_id != first.message_id)
 
     def record_accepted(
-        self, now: int, key: str, message: str, idempotency: Idempotency, window_us: int
+        self, now: int, key: str, message: str, idempotency: Idempotency, window_us: int, message_id: str = ""
     ) -> None:
         """Record that ``message`` was accepted as new under ``key``."""
         previous = self._by_key.pop(key, None)
@@ -185,7 +190,7 @@
             self._key_by_message.pop(previous.message, None)
             since_us = previous.ambiguous_since_us
         self._by_key[key] = _FirstSubmission(
-            message, idempotency, window_us, now, changed_us=now, ambiguous_since_us=since_us
+            message, idempotency, window_us, now, message_id, changed_us=now, ambiguous_since_us=since_us
         )
         self._key_by_message[message] = key
 
--- a/honeybarrow/delivery/mail_call.py
+++ b/honeybarrow/delivery/mail_call.py
@@ -34,11 +34,19 @@
 
 @dataclass(frozen=True, slots=True)
 class MailPayload:
-    """Envelope and content of a message. The content is shared between attempts and recipients."""
+    """Envelope and content of a message. The content is shared between attempts and recipients.
+
+    ``added_header`` is put in front of the content. ``envelope_id`` names the message for partners that take
+    it. ``requires_envelope_id`` is set if the partner knows the message under no other name, and may have
+    executed it.
+    """
 
     sender: mail.Path
     recipient: mail.Path
     content: bytes
+    added_header: bytes = b""
+    envelope_id: str = ""
+    requires_envelope_id: bool = False
 
 
 class CallOwner(ConnectionOwner, Protocol):
@@ -95,7 +103,8 @@
         self.pool.address_health.record_idle_survival(now, idle.address, now - idle.idle_since_us)
         idle.call, idle.number = self, self.race.reuse_connection(now, idle.address)
         self.connections[idle.number] = idle
-        if self._start_unless_refused(self.permit.record_permitted_start(), idle):
+        refusal_reason = self._check_recognizable(idle) or self.permit.record_permitted_start()
+        if self._start_unless_refused(refusal_reason, idle):
             idle.flush()
             self._execute([])
 
@@ -162,7 +171,14 @@
         self.race.on_session_ready(self.pool.now_us(), connection.number)
         # During the connect the endpoint may have started to drain or advised a retry delay, or the window of
         # the idempotency key may have ended.
-        self._start_unless_refused(self.permit.record_start(), connection)
+        refusal_reason = self._check_recognizable(connection) or self.permit.record_start()
+        self._start_unless_refused(refusal_reason, connection)
+
+    def _check_recognizable(self, connection: MailConnection) -> str:
+        """Return why the partner would execute a repeat as a new message, or an empty string."""
+        if not self.payload.requires_envelope_id or connection.session.recognizes_envelope_id:
+            return ""
+        return "the partner can't recognize the repeat"
 
     def _start_unless_refused(self, refusal_reason: str, connection: MailConnection) -> bool:
         """Write the transaction if ``refusal_reason`` is empty; return whether it was written."""
@@ -184,7 +200,8 @@
         self.is_started = True
         time_left_s = (self.deadline_us - self.pool.now_us()) // 1_000_000 + 1
         payload = self.payload
-        connection.session.send(payload.sender, payload.recipient, payload.content, time_left_s)
+        content = payload.added_header + payload.content
+        connection.session.send(payload.sender, payload.recipient, content, time_left_s, payload.envelope_id)
 
     def on_progress(self, connection: MailConnection) -> None:
         """Handle replies that did not end the call."""
--- a/honeybarrow/mail/__init__.py
+++ b/honeybarrow/mail/__init__.py
@@ -25,7 +25,7 @@
     sanitize,
     stuff_dots,
 )
-from honeybarrow.mail.headers import add_trace, count_hops, read_header, split_content
+from honeybarrow.mail.headers import count_hops, make_trace, read_header, remove_header, split_content
 from honeybarrow.mail.server import ServerSession
 from honeybarrow.mail.server_events import (
     Closed,
@@ -39,6 +39,7 @@
     StartTls,
     State,
 )
+from honeybarrow.mail.xtext import decode_xtext, encode_xtext
 
 __all__ = [
     "ClientSession",
@@ -65,11 +66,14 @@
     "SessionRefused",
     "StartTls",
     "State",
-    "add_trace",
     "count_hops",
+    "decode_xtext",
+    "encode_xtext",
     "is_closing_notice",
+    "make_trace",
     "read_address",
     "read_header",
+    "remove_header",
     "sanitize",
     "split_content",
     "stuff_dots",
--- a/honeybarrow/mail/client.py
+++ b/honeybarrow/mail/client.py
@@ -13,6 +13,7 @@
 
 from honeybarrow.mail import grammar
 from honeybarrow.mail.grammar import CRLF, InvalidReplyError, Path, Reply, ReplyReader
+from honeybarrow.mail.xtext import encode_xtext
 
 
 class Phase(enum.Enum):
@@ -127,13 +128,25 @@
         """Whether the session is neither closed nor quitting."""
         return self.phase not in (Phase.QUIT, Phase.CLOSED)
 
-    def send(self, sender: Path, recipient: Path, content: bytes, deliver_by_s: int | None = None) -> None:
+    @property
+    def recognizes_envelope_id(self) -> bool:
+        """Whether the server recognizes a repeated message by its envelope id."""
+        return "XENVID" in self.extensions
+
+    def send(
+        self,
+        sender: Path,
+        recipient: Path,
+        content: bytes,
+        deliver_by_s: int | None = None,
+        envelope_id: str = "",
+    ) -> None:
         """Start a transaction with one recipient.
 
         ``deliver_by_s``: the time left in seconds, sent if the server supports DELIVERBY. Raises
         ``RuntimeError`` unless the session is idle.
         """
-        self.send_many(sender, [recipient], content, deliver_by_s)
+        self.send_many(sender, [recipient], content, deliver_by_s, envelope_id)
 
     def send_many(
         self,
@@ -354,8 +367,3 @@
     def _fail_session(self, reason: str) -> ProtocolViolation:
         self.is_reusable, self.phase = False, Phase.CLOSED
         return ProtocolViolation(reason)
-
-
-def encode_xtext(text: str) -> str:
-    """Encode text as xtext (RFC 3461 4); DEL and characters outside ASCII are dropped."""
-    return "".join(c if "!" <= c <= "~" and c not in "+=" else f"+{ord(c):02X}" for c in text if ord(c) < 127)
--- a/honeybarrow/mail/headers.py
+++ b/honeybarrow/mail/headers.py
@@ -39,19 +39,41 @@
     return header.count(b"\r\nreceived:")
 
 
-def add_trace(
-    content: bytes, peer: str, address: str, host: str, protocol: str, message_id: str, date: str
+def remove_header(content: bytes, name: str) -> bytes:
+    """Return the content without its fields called ``name``."""
+    header, body = split_content(content)
+    prefix = name.lower().encode("ascii") + b":"
+    kept: list[bytes] = []
+    is_removed = False
+    for line in header.split(CRLF):
+        is_continuation = line[:1] in (b" ", b"\t")
+        is_removed = is_removed if is_continuation else line[: len(prefix)].lower() == prefix
+        if not is_removed:
+            kept.append(line)
+    return CRLF.join(kept) + body
+
+
+def make_trace(
+    content: bytes,
+    peer: str,
+    address: str,
+    host: str,
+    protocol: str,
+    trace_id: str,
+    date: str,
+    message_id: str = "",
 ) -> bytes:
-    """Return the content with a Received field (RFC 5321 4.4) and, if missing, a Message-ID (6.4) in front.
+    """Return the fields to put in front of content: Received (RFC 5321 4.4), and Message-ID (6.4) if given.
 
-    ``peer`` is the name that the client gave, ``address`` its IP address and ``host`` this server's name.
+    ``peer`` is the name that the client gave, ``address`` its IP address, ``host`` this server's name and
+    ``trace_id`` its id of the submission.
     """
     lines = (
         f"Received: from {sanitize(peer)} ([{sanitize(address)}])\r\n"
-        f"\tby {host} with {protocol} id {message_id};\r\n\t{date}\r\n"
+        f"\tby {host} with {protocol} id {trace_id};\r\n\t{date}\r\n"
     )
-    if read_header(content, "Message-ID") is None:
-        lines += f"Message-ID: <{message_id}@{host}>\r\n"
+    if message_id:
+        lines += f"Message-ID: {message_id}\r\n"
     # Content that does not begin with a header needs an empty line after the new fields.
     separator = b"" if not content or content.startswith(CRLF) or b":" in content.split(CRLF, 1)[0] else CRLF
-    return lines.encode("ascii", "replace") + separator + content
+    return lines.encode("ascii", "replace") + separator
--- a/honeybarrow/mail_front/connection_registry.py
+++ b/honeybarrow/mail_front/connection_registry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -128,12 +127,3 @@
         self.admission.is_stopping = True
         for connection in list(self.connections.values()):
             connection.close_when_idle()
-
-    def build_duplicate_key(self, client: str, message: mail.Message, recipient: mail.Path) -> str:
-        """Return the key shared by submissions of the same message, or ``""`` if the client gave no id."""
-        submission_id = message.parameters.envelope_id or mail.read_header(message.content, "Message-ID")
-        if not submission_id:
-            return ""
-        # The body is part of the key, so that a different message that reuses an id is not a duplicate.
-        body_digest = hashlib.blake2b(mail.split_content(message.content)[1], digest_size=16).hexdigest()
-        return f"{client}\0{submission_id}\0{recipient}\0{body_digest}"
--- a/honeybarrow/mail_front/protocol.py
+++ b/honeybarrow/mail_front/protocol.py
@@ -16,6 +16,7 @@
 from honeybarrow.delivery import DeliveryResult, MailPayload, Submission, ignore_cancelled
 from honeybarrow.mail import Reply
 from honeybarrow.mail_front.connection_registry import ConnectionRegistry
+from honeybarrow.mail_front.message_identity import MessageIdentifier, MessageIdentity
 from honeybarrow.mail_front.message_preparation import compute_times_left_us, route_message
 from honeybarrow.mail_front.replies import (
     ADDRESS_NOT_ALLOWED,
@@ -243,7 +244,7 @@
         self.registry.admission.complete_content(self.connection_id)
         elapsed_us = self.registry.now_us() - self.transaction_start_us
         message_id = self.registry.new_id()
-        content = self._add_trace(event, message_id)
+        identifier = MessageIdentifier(self.client_name, event)
         router = self.registry.router
         routed = [route_message(router, route, event) for route in self.routes]
         times_left_us = iter(compute_times_left_us(router, event, routed, elapsed_us))
@@ -253,36 +254,53 @@
                 batch.replies[index] = entry
                 continue
             route, properties = entry.route, entry.properties
+            submission_id = f"{message_id}.{index}" if len(routed) > 1 else message_id
+            identity = identifier.identify(route.path, f"<{submission_id}@{self.registry.server_name}>")
             submission = Submission(
-                f"{message_id}.{index}" if len(routed) > 1 else message_id,
+                submission_id,
                 route.class_name,
                 route.destination,
                 next(times_left_us),
-                MailPayload(event.sender, route.path, content),
+                self._make_payload(event, route.path, identity, message_id),
                 properties.tenant,
                 properties.order_key,
             )
-            self._submit_for_recipient(event, route.path, submission, index, batch)
+            self._submit_for_recipient(identity, route.path, submission, index, batch)
         batch.is_submitted = True
         self._send_ready_replies(batch)
 
-    def _add_trace(self, event: mail.Message, message_id: str) -> bytes:
-        """Return the content with this server's trace line in front."""
+    def _make_payload(
+        self, event: mail.Message, recipient: mail.Path, identity: MessageIdentity, message_id: str
+    ) -> MailPayload:
+        """Return the message to one recipient, with this server's trace line in front."""
+        content = event.content
+        if identity.added_message_id and mail.read_header(content, "Message-ID") is not None:
+            content = mail.remove_header(content, "Message-ID")  # it is empty
+        added_header = self._make_trace(content, message_id, identity.added_message_id)
+        return MailPayload(event.sender, recipient, content, added_header, identity.envelope_id)
+
+    def _make_trace(self, content: bytes, trace_id: str, added_message_id: str) -> bytes:
         session, registry = self.session, self.registry
         protocol = "LMTP" if self.factory.lmtp else "ESMTP" if session.extended else "SMTP"
         protocol += ("S" if session.tls else "") + ("A" if session.user else "")  # RFC 3848
-        return mail.add_trace(
-            event.content,
+        return mail.make_trace(
+            content,
             session.peer_name,
             self.peer_address,
             registry.server_name,
             protocol,
-            message_id,
+            trace_id,
             registry.format_date(),
+            added_message_id,
         )
 
     def _submit_for_recipient(
-        self, event: mail.Message, recipient: mail.Path, submission: Submission, index: int, batch: ReplyBatch
+        self,
+        identity: MessageIdentity,
+        recipient: mail.Path,
+        submission: Submission,
+        index: int,
+        batch: ReplyBatch,
     ) -> None:
         """Submit the message to one recipient, at position ``index`` of its batch."""
         registry = self.registry
@@ -294,8 +312,7 @@
             recipient=str(recipient),
             left_us=submission.time_left_us,
         )
-        duplicate_key = registry.build_duplicate_key(self.client_name, event, recipient)
-        result = registry.submissions.submit(self.connection_id, duplicate_key, submission)
+        result = registry.submissions.submit(self.connection_id, identity, submission)
         self.pending_results.append(result)
         result.addCallback(self._on_final_result, index, batch, result)
         result.addErrback(ignore_cancelled)
--- a/honeybarrow/mail_front/submission.py
+++ b/honeybarrow/mail_front/submission.py
@@ -15,6 +15,7 @@
 from honeybarrow.admission.duplicate_detection import (
     AcceptAsNew,
     AwaitAttempt,
+    DuplicateDecision,
     DuplicateDetector,
     JoinMessage,
     RepeatResult,
@@ -32,6 +33,7 @@
     ignore_cancelled,
 )
 from honeybarrow.events import AttemptStatus
+from honeybarrow.mail_front.message_identity import MessageIdentity
 from honeybarrow.ports import Clock, Logger
 from honeybarrow.settings import MessageClass
 
@@ -78,29 +80,28 @@
         forwarder.on_last_attempt_finished = self._on_last_attempt_finished
 
     def submit(
-        self, connection_id: int, duplicate_key: str, submission: Submission
+        self, connection_id: int, identity: MessageIdentity, submission: Submission
     ) -> Deferred[DeliveryResult]:
         """Submit a message; the returned deferred fires with its final result.
 
-        Cancel the deferred when the client disconnects. ``duplicate_key`` identifies submissions of the same
-        message; if it is empty, duplicates are not detected.
+        Cancel the deferred when the client disconnects. Duplicates are not detected if ``identity`` has no
+        key for them.
         """
         waiter: _ResultWaiter
         result: Deferred[DeliveryResult] = Deferred(lambda _: self._on_client_left(waiter))
         waiter = _ResultWaiter(result, self.now_us() + submission.time_left_us)
-        self._check_duplicate(connection_id, duplicate_key, submission, waiter)
+        self._check_duplicate(connection_id, identity, submission, waiter)
         return result
 
     def _check_duplicate(
-        self, connection_id: int, duplicate_key: str, submission: Submission, waiter: _ResultWaiter
+        self, connection_id: int, identity: MessageIdentity, submission: Submission, waiter: _ResultWaiter
     ) -> None:
         """Submit a new message; for a duplicate, await or repeat the result of the first submission."""
         now = self.now_us()
-        decision = self.duplicates.check_submission(now, duplicate_key) if duplicate_key else AcceptAsNew()
-        match decision:
-            case AcceptAsNew(max_time_left_us):
-                submission = self._limit_time_left(submission, waiter.deadline_us - now, max_time_left_us)
-                self._admit_new_message(connection_id, duplicate_key, submission, waiter)
+        match self._decide_on_duplicate(now, identity):
+            case AcceptAsNew() as accepted:
+                submission = self._limit_repeat(submission, waiter.deadline_us - now, accepted)
+                self._admit_new_message(connection_id, identity, submission, waiter)
             case JoinMessage(message):
                 self.log.info("duplicate_joined", message=submission.message, first=message)
                 waiter.message = message
@@ -113,22 +114,27 @@
                     lambda: (
                         None
                         if waiter.result.called
-                        else self._check_duplicate(connection_id, duplicate_key, submission, waiter)
+                        else self._check_duplicate(connection_id, identity, submission, waiter)
                     )
                 )
             case RepeatResult(is_delivered):
                 self.log.info("duplicate_answered", message=submission.message, delivered=is_delivered)
                 waiter.result.callback(Delivered() if is_delivered else Failed("handed in before, in doubt"))
 
-    def _limit_time_left(
-        self, submission: Submission, left_us: int, max_time_left_us: int | None
-    ) -> Submission:
-        """Return the submission with its time left, and its history if an earlier one may have run."""
-        if max_time_left_us is None:
+    def _decide_on_duplicate(self, now: int, identity: MessageIdentity) -> DuplicateDecision:
+        if not identity.duplicate_key:
+            return AcceptAsNew()
+        return self.duplicates.check_submission(now, identity.duplicate_key, identity.message_id)
+
+    def _limit_repeat(self, submission: Submission, left_us: int, accepted: AcceptAsNew) -> Submission:
+        """Return the submission with its time left, and with its history if an earlier one may have run."""
+        max_left_us = accepted.max_time_left_us
+        if max_left_us is None:
             return replace(submission, time_left_us=left_us)
-        age_us = self.classes[submission.class_name].key_window_us - max_time_left_us
+        age_us = max(0, self.classes[submission.class_name].key_window_us - max_left_us)
+        payload = replace(submission.payload, requires_envelope_id=accepted.is_renamed)
         return replace(
-            submission, time_left_us=min(left_us, max_time_left_us), ambiguous_age_us=max(0, age_us)
+            submission, time_left_us=min(left_us, max_left_us), payload=payload, ambiguous_age_us=age_us
         )
 
     def _refuse(self, submission: Submission, refused: Refused, waiter: _ResultWaiter) -> None:
@@ -141,7 +147,7 @@
         waiter.result.callback(Failed(refused.reason, None, within_us, refused.retry_after_us))
 
     def _admit_new_message(
-        self, connection_id: int, duplicate_key: str, submission: Submission, waiter: _ResultWaiter
+        self, connection_id: int, identity: MessageIdentity, submission: Submission, waiter: _ResultWaiter
     ) -> None:
         """Submit a message to the forwarder if admission control admits it, else refuse it."""
         now, message = self.now_us(), submission.message
@@ -160,10 +166,15 @@
             )
             self._refuse(submission, Refused(decision.retry_after_us, decision.reason), waiter)
             return
-        if duplicate_key:
+        if identity.duplicate_key:
             message_class = self.classes[submission.class_name]
             self.duplicates.record_accepted(
-                now, duplicate_key, message, message_class.idempotency, message_class.key_window_us
+                now,
+                identity.duplicate_key,
+                message,
+                message_class.idempotency,
+                message_class.key_window_us,
+                identity.message_id,
             )
         waiter.message = message
         open_message = self._open_messages[message] = _OpenMessage(
--- a/tests/test_mail.py
+++ b/tests/test_mail.py
@@ -360,9 +360,14 @@
     assert mail.read_header(content, "x-order-key") == "k 1"
     assert mail.read_header(content, "X-Tenant") is None
     assert mail.count_hops(content) == 2
-    traced = mail.add_trace(content, "c", "127.0.0.1", "f", "ESMTP", "id1", "today")
-    assert traced.endswith(content) and mail.read_header(traced, "Message-ID") == "<id1@f>"
-    assert mail.read_header(mail.add_trace(b"no header here", "c", "1", "f", "SMTP", "i", "t"), "Received")
+    traced = mail.make_trace(content, "c", "127.0.0.1", "f", "ESMTP", "id1", "today", "<id1@f>") + content
+    assert mail.read_header(traced, "Message-ID") == "<id1@f>"
+    assert mail.read_header(traced, "Received") == "from c ([127.0.0.1]) by f with ESMTP id id1; today"
+    untraced = b"no header here"
+    traced = mail.make_trace(untraced, "c", "1", "f", "SMTP", "i", "t") + untraced
+    assert mail.read_header(traced, "Received") and mail.split_content(traced)[1] == b"\r\nno header here"
+    removed = b"A: 1\r\nMESSAGE-id:\r\n \r\nB: 2\r\n\r\nMessage-ID: body\r\n"
+    assert mail.remove_header(removed, "Message-ID") == b"A: 1\r\nB: 2\r\n\r\nMessage-ID: body\r\n"
 
 
 CHUNK = b"Subject: x\r\n\r\n.dot\r\n"
