After a start, a discovery that accepts connections and is silent counts as down, as before

Seen: four tests of waits failed (test_a_retry_after_holds_...): their discovery never answers, lists are asked for, and the process held all calls 3.9 s after its start.

Cause: the table took silence at a new process with lists that are asked for as possible news, although "while discovery is down the agent is silent", and although it was served until now.

Change: silence at a start is an outage in both modes; after a change of address it is not, since the 4 s after SIGHUP have no exception.

--- a/honeybarrow/node/list_validity.py
+++ b/honeybarrow/node/list_validity.py
@@ -34,7 +34,7 @@
 | status other than 200 | discovery rejects calls, unless it went down |
 | reset or end before anything was told | discovery breaks calls, unless it went down |
 | the same status sooner than a gateway could have given up | discovery rejects calls: it is overloaded |
-| no answer in time | nothing is known; after a start with pushed lists: a silent agent is down |
+| no answer in time | after a start it is down, as a silent agent; after a change of address nothing |
 
 Once the list is outdated, only an item or a heartbeat makes it valid again. The tables hold for all
 messages. A message that must take effect once loses more by a wrong endpoint than by waiting, but an
@@ -97,7 +97,7 @@
 
     def __init__(self, now_s: float, is_pushed: bool = False) -> None:
         self.state = DiscoveryState.UNKNOWN
-        self._is_silence_an_outage = is_pushed  # until the address changes
+        self._is_silence_an_outage = True  # until the address changes
         self._outdated_at_s = now_s if is_pushed else now_s + MAX_LIST_AGE_AFTER_START_S
 
     def on_confirmed(self, now_s: float) -> None:
--- a/tests/test_discovery_failures.py
+++ b/tests/test_discovery_failures.py
@@ -234,13 +234,28 @@
     [
         ("503", 0.3), ("503", 1.1), ("503", 1.2), ("503", 2.0),
         ("refused", 0.0), ("refused", 0.3), ("refused", 2.0),
-        ("closed", 2.0), ("noise", 2.0), ("hangs", 0.0),
+        ("closed", 2.0), ("noise", 2.0),
     ],
 )  # fmt: skip
 def test_an_address_that_has_told_nothing_may_be_crowded_however_its_calls_end(
     harness: ForwarderHarness, how: str, delay_s: float, since: str
 ) -> None:
     """Guards against review case 10: a slow 503 or a reset was taken for an outage, and the old list used."""
+    _check_limit(harness, how, delay_s, since)
+
+
+def test_after_a_reload_an_address_that_is_silent_may_have_news(harness: ForwarderHarness) -> None:
+    """The 4 s after SIGHUP have no exception for a discovery that accepts connections."""
+    _check_limit(harness, "hangs", 0.0, "reload")
+
+
+def test_after_a_start_a_silent_discovery_is_down(harness: ForwarderHarness) -> None:
+    _keep_failing(harness, "hangs", 10.0)
+    assert _is_called(harness, "m1")
+
+
+def _check_limit(harness: ForwarderHarness, how: str, delay_s: float, since: str) -> None:
+    """Check that calls follow the list until its limit and then wait for discovery, whose calls fail."""
     _begin_list_age(harness, since)
     begin_s = harness.now_s
     _keep_failing(harness, how, 3.5, delay_s)
--- a/tests/test_discovery_table_processes.py
+++ b/tests/test_discovery_table_processes.py
@@ -25,6 +25,7 @@
 CROWDED_S = 6.0
 OUTAGE_S = 10.0
 SENDING_INTERVAL_S = 0.1
+MIN_SHARE_BEFORE_RETURN = 0.7  # of a message's time; an untried one that is returned earlier is charged
 STALL_S = 0.3  # allowance for the tests' own delays
 MODES = ("pushed", "on_request")
 REJECTION = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
@@ -248,8 +249,10 @@
     run_rows(tmp_path, mode, [Failure("refused")], scenario)
 
 
-def test_messages_that_expire_while_calls_are_held_are_answered_in_time(tmp_path: Path) -> None:
-    left_s = 1.5
+def test_messages_that_expire_while_calls_are_held_are_answered_neither_early_nor_late(
+    tmp_path: Path,
+) -> None:
+    left_s = 4.0
 
     async def scenario(platform: Platform) -> None:
         platform.is_failing = True
@@ -257,6 +260,8 @@
         accepted_s = time.monotonic()
         for cls in ("note", "post", "pay"):
             assert await platform.submit(f"{cls}-held", cls, f"{int(left_s * 1000)}m") == 202
+        await asyncio.sleep(MIN_SHARE_BEFORE_RETURN * left_s)
+        assert platform.notifications == []
         await platform.wait_until(lambda: len(platform.notifications) == 3, 5.0)
         assert time.monotonic() - accepted_s < left_s + STALL_S
         assert {each["outcome"] for each in platform.notifications} == {"handed_back"}
--- a/tests/test_list_after_restart.py
+++ b/tests/test_list_after_restart.py
@@ -198,7 +198,7 @@
     CallEnding.SHED: (REJECTING,) * 6,
     CallEnding.REJECTED: (REJECTING, REJECTING, REJECTING, WENT_DOWN, REJECTING, REJECTING),
     CallEnding.BROKEN: (BREAKING, BREAKING, BREAKING, WENT_DOWN, BREAKING, REJECTING),
-    CallEnding.UNANSWERED: (UNKNOWN, UNKNOWN, SILENT, WENT_DOWN, BREAKING, REJECTING),
+    CallEnding.UNANSWERED: (UNREACHABLE, UNREACHABLE, SILENT, WENT_DOWN, BREAKING, REJECTING),
 }
 
 
@@ -239,12 +239,14 @@
     assert validity.allows_calls(1000.0)
 
 
-def test_a_silent_agent_of_a_new_process_is_down_until_the_address_changes() -> None:
-    validity = make_validity(UNKNOWN, is_pushed=True)
+@pytest.mark.parametrize("is_pushed", [False, True])
+def test_a_silent_discovery_of_a_new_process_is_down_until_the_address_changes(is_pushed: bool) -> None:
+    validity = make_validity(UNKNOWN, is_pushed)
     validity.on_call_ended(CallEnding.UNANSWERED)
     assert validity.allows_calls(1000.0)
     validity.on_address_changed(200.0)
-    validity.on_call_ended(CallEnding.UNANSWERED)
+    for ending in (CallEnding.UNANSWERED, CallEnding.UNREACHED, CallEnding.UNANSWERED):
+        validity.on_call_ended(ending)
     assert not validity.allows_calls(200.0 + MAX_LIST_AGE_AFTER_START_S)
 
 
