Tests of replaced endpoints share one harness

Need: two test modules had the same peers with an endpoint that is replaced.

Change: tests.platform_harness.ReplacedEndpointHarness; a comment of MAX_SHED_DELAY_S says what it limits.

--- a/honeybarrow/node/discovery.py
+++ b/honeybarrow/node/discovery.py
@@ -38,7 +38,7 @@
 WATCH_TIMEOUT_S = 1.3 * HEARTBEAT_INTERVAL_S  # without an item or a heartbeat
 RESPONSE_TIMEOUT_S = 2.2  # from the connect to the response head; two of these fit into 6 s
 MIN_RESYNC_INTERVAL_S = 2.0  # between requests of the whole list after items that were not new
-MAX_SHED_DELAY_S = RESPONSE_TIMEOUT_S / 2  # whatever the settings say
+MAX_SHED_DELAY_S = RESPONSE_TIMEOUT_S / 2  # limit of the settings' connect timeout, in its use here
 _UNREACHED_ERRORS = (error.TimeoutError, error.NoRouteError, error.TCPTimedOutError)
 log = logging.getLogger("honeybarrow.node")
 
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
@@ -238,3 +239,38 @@
             server.close()
         if (self.folder / "log").exists():
             assert "guard_violation {" not in self.read_log(), self.read_log()  # the event, not its counter
+
+
+class ReplacedEndpointHarness(PlatformHarness):
+    """Peers with an endpoint that can be replaced.
+
+    The endpoint ``s1`` of destination 7 leaves; an endpoint of destination 8 starts at its address.
+    """
+
+    def __init__(self, folder: Path, settings: dict[str, Any]) -> None:
+        super().__init__(folder, settings)
+        self.is_replaced = False
+        self.called_at: list[tuple[str, str, float]] = []  # listener, message, monotonic time
+
+    def endpoint_list(self, index: int, snapshot: bool) -> dict[str, Any]:
+        """Return the list as discovery has it; versions below 41 are in the configuration alone."""
+        entries = [("s1", "target", 7)]
+        if self.is_replaced and index > 40:
+            entries = [("s3", "replacement", 7), ("s4", "target", 8)]
+        common = {"zone": "a", "type": "shop", "status": "active"}
+        endpoints = [
+            {**common, "name": name, "address": self.addresses[listener], "group": group}
+            for name, listener, group in entries
+        ]
+        return {"index": index, "snapshot": snapshot, "endpoints": endpoints}
+
+    async def start_peers(self) -> None:
+        """Start all peers, also the listener of the replacing endpoint."""
+        await self.serve("replacement", self.target)
+        await super().start_peers()
+
+    async def target(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while (message := await read_message(reader)) is not None:
+            message_id = message[1]["x-correlation-id"]
+            self.called_at.append((name, message_id, time.monotonic()))
+            writer.write(self.choose_answer(message_id) or b"")
--- a/tests/test_discovery_table_processes.py
+++ b/tests/test_discovery_table_processes.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from tests.platform_harness import TARGET_ANSWER, PlatformHarness, read_message
+from tests.platform_harness import ReplacedEndpointHarness, read_message
 from tests.test_service_on_platform import SETTINGS
 
 RESTART_DELAY_S = 0.6  # of a killed process, defined by the platform
@@ -47,38 +47,17 @@
 OUTAGES = [Failure("refused"), Failure("reset"), Failure("reset", 2.0), Failure("503", 2.0)]
 
 
-class Platform(PlatformHarness):
-    """A platform whose discovery fails for a while, and whose endpoint is replaced meanwhile.
-
-    The endpoint ``s1`` of destination 7 leaves; an endpoint of destination 8 starts at its address.
-    """
+class Platform(ReplacedEndpointHarness):
+    """A platform whose discovery fails for a while, and whose endpoint is replaced meanwhile."""
 
     def __init__(self, folder: Path, mode: str, failure: Failure) -> None:
         folder.mkdir()
         super().__init__(folder, {**SETTINGS, "membershipMode": mode})
         self.failure = failure
-        self.is_failing, self.is_replaced = False, False
+        self.is_failing = False
         self.watchers: set[asyncio.StreamWriter] = set()
-        self.called_at: list[tuple[str, str, float]] = []  # listener, message, monotonic time
         self.submitted: list[str] = []
 
-    def endpoint_list(self, index: int, snapshot: bool) -> dict[str, Any]:
-        """Return the list as discovery has it; versions below 41 are in the configuration alone."""
-        entries = [("s1", "target", 7)]
-        if self.is_replaced and index > 40:
-            entries = [("s3", "replacement", 7), ("s4", "target", 8)]
-        common = {"zone": "a", "type": "shop", "status": "active"}
-        endpoints = [
-            {**common, "name": name, "address": self.addresses[listener], "group": group}
-            for name, listener, group in entries
-        ]
-        return {"index": index, "snapshot": True, "endpoints": endpoints}
-
-    async def start_peers(self) -> None:
-        """Start all peers, also the listener of the replacing endpoint."""
-        await self.serve("replacement", self.target)
-        await super().start_peers()
-
     async def discovery(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
             if message[0].startswith("POST /reports"):
@@ -106,11 +85,6 @@
             line = b"\n"
             await asyncio.sleep(1)
 
-    async def target(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while (message := await read_message(reader)) is not None:
-            self.called_at.append((name, message[1]["x-correlation-id"], time.monotonic()))
-            writer.write(TARGET_ANSWER)
-
     def stop_discovery(self, is_refused: bool) -> None:
         """End all watches; refuse connections to both addresses if ``is_refused``."""
         self.is_failing = True
--- a/tests/test_list_after_restart.py
+++ b/tests/test_list_after_restart.py
@@ -14,7 +14,6 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -26,7 +25,7 @@
     DiscoveryState,
     ListValidity,
 )
-from tests.platform_harness import TARGET_ANSWER, PlatformHarness, read_message
+from tests.platform_harness import TARGET_ANSWER, ReplacedEndpointHarness, read_message
 from tests.test_service_on_platform import SETTINGS
 
 RESTART_DELAY_S = 0.6  # of a killed process, defined by the platform
@@ -44,36 +43,12 @@
     is_changed: bool = False  # the endpoint is replaced; its address passes to another destination
 
 
-class ReplacedEndpointPlatform(PlatformHarness):
-    """Peers with an endpoint that can be replaced, and a stranger of destination 8 at its address."""
+class ReplacedEndpointPlatform(ReplacedEndpointHarness):
+    """A platform with pushed lists, whose discovery treats the watch of a new process in some way."""
 
     def __init__(self, folder: Path) -> None:
         super().__init__(folder, {**SETTINGS, "membershipMode": "pushed"})
         self.behavior = Discovery()
-        self.calls_at: list[tuple[str, str, float]] = []  # listener, message, monotonic time
-
-    def endpoint_list(self, index: int, snapshot: bool) -> dict[str, Any]:
-        """Return the list as discovery has it; its version is below 41 in the configuration alone."""
-        endpoints = [self._entry("s1", "target", 7)]
-        if self.behavior.is_changed and index > 40:
-            endpoints = [self._entry("s3", "replacement", 7), self._entry("s4", "target", 8)]
-        return {"index": index, "snapshot": snapshot, "endpoints": endpoints}
-
-    def _entry(self, name: str, listener: str, group: int) -> dict[str, Any]:
-        address = self.addresses[listener]
-        return {
-            "name": name,
-            "address": address,
-            "zone": "a",
-            "type": "shop",
-            "group": group,
-            "status": "active",
-        }
-
-    async def start_peers(self) -> None:
-        """Start all peers, also the listener of the replacing endpoint."""
-        await self.serve("replacement", self.target)
-        await super().start_peers()
 
     async def discovery(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
@@ -97,23 +72,17 @@
             line = b"\n"
             await asyncio.sleep(1)
 
-    async def target(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while (message := await read_message(reader)) is not None:
-            message_id = message[1]["x-correlation-id"]
-            self.calls_at.append((name, message_id, time.monotonic()))
-            writer.write(self.choose_answer(message_id) or b"")
-
     def has_read_all_answers(self) -> bool:
         """Return whether the forwarder knows that no call has run; a kill before that leaves it ambiguous."""
-        return 0 < len(self.calls_at) <= self.read_log().count("response_status=429")
+        return 0 < len(self.called_at) <= self.read_log().count("response_status=429")
 
     async def restart_with(self, behavior: Discovery) -> float:
         """Kill the forwarder, let discovery behave so from then on, start again; return when it started."""
         await self.end_forwarder(signal.SIGKILL)
-        self.calls_at.clear()
+        self.called_at.clear()
         self.choose_answer = lambda message: TARGET_ANSWER
         self.configure()  # while the list is as the forwarder last had it
-        self.behavior = behavior
+        self.behavior, self.is_replaced = behavior, behavior.is_changed
         if behavior.answer == "refusal":
             self.servers[1].close()
         await asyncio.sleep(RESTART_DELAY_S)
@@ -147,12 +116,12 @@
         await platform.wait_until(platform.has_read_all_answers)  # the others wait for the same time
         started_s = await platform.restart_with(behavior)
         await platform.wait_until(
-            lambda: {call[1] for call in platform.calls_at} == {*MESSAGES}, latest_s + 2.0
+            lambda: {call[1] for call in platform.called_at} == {*MESSAGES}, latest_s + 2.0
         )
-        assert platform.notifications == [] and len(platform.calls_at) == len(MESSAGES)
+        assert platform.notifications == [] and len(platform.called_at) == len(MESSAGES)
         expected = "replacement" if behavior.is_changed else "target"
-        assert {call[0] for call in platform.calls_at} == {expected}
-        first_s = min(call[2] for call in platform.calls_at) - started_s
+        assert {call[0] for call in platform.called_at} == {expected}
+        first_s = min(call[2] for call in platform.called_at) - started_s
         assert earliest_s <= first_s <= latest_s
 
     async def run() -> None:
