--- a/benchmarks/soak_mutants.py
+++ b/benchmarks/soak_mutants.py
@@ -200,6 +200,20 @@
         (GUARD_FILE, "    if time_left_us <= 0:\n        return Refusal.EXPIRED\n", ""),
         ("recovery.py", "min(time_left_us, message_class.deadline_us)", "message_class.deadline_us"),
     ),
+    "failed calls to discovery count as an outage": _mutant(
+        (FaultKind.DISCOVERY_CROWD,),
+        (
+            "node/list_validity.py",
+            "    CallEnding.REJECTED: dict.fromkeys(_ALL_BUT_DOWN, DiscoveryState.REJECTING),",
+            "    CallEnding.REJECTED: dict.fromkeys(_ALL_BUT_DOWN, DiscoveryState.WENT_DOWN),",
+        ),
+        (
+            "node/list_validity.py",
+            "dict.fromkeys(_ALL_BUT_DOWN - {DiscoveryState.REJECTING}, DiscoveryState.BREAKING),",
+            "dict.fromkeys(_ALL_BUT_DOWN, DiscoveryState.WENT_DOWN),",
+        ),
+        faults=12,
+    ),
     "a silent watch is not reopened": _mutant(
         (FaultKind.REPLACE, FaultKind.DISCOVERY_LINK),
         (
